--- /dev/null
+++ b/shallotdrift/Base.h
@@ -0,0 +1,9 @@
+// Base module: result codes, errors, clocks, the bounded ring, log prefixes and digests.
+#pragma once
+
+#include "src/Base/BoundedRing.h"
+#include "src/Base/Digest.h"
+#include "src/Base/Error.h"
+#include "src/Base/Logging.h"
+#include "src/Base/ResultCode.h"
+#include "src/Base/Time.h"
--- /dev/null
+++ b/shallotdrift/src/Base/Time.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace shallotdrift {
+
+using Duration = std::chrono::nanoseconds;
+using Milliseconds = std::chrono::milliseconds;
+
+// Monotonic clock that also counts the time in which the machine or process was suspended (CLOCK_BOOTTIME).
+// Leases must lapse for a paused holder, so steady_clock, which stops during a system suspend, does not do.
+struct BootClock {
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock, duration>;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): named by the Clock requirements
+    static time_point now() noexcept;
+};
+
+using Instant = BootClock::time_point;
+using WallTime = std::chrono::time_point<std::chrono::system_clock, Milliseconds>;
+
+inline WallTime wallNow() { return std::chrono::time_point_cast<Milliseconds>(std::chrono::system_clock::now()); }
+
+inline WallTime wallTimeFromUnix(Milliseconds sinceEpoch) { return WallTime { sinceEpoch }; }
+
+inline int64_t unixMilliseconds(WallTime time) { return time.time_since_epoch().count(); }
+
+} // namespace shallotdrift
