Add the stand-in program with its roles

Cause: several parts of the test environment are built side by side and share one program. Result: builds; every role exits with 1 until it is written.

--- /dev/null
+++ b/standin/PlatformRole.cpp
@@ -0,0 +1,7 @@
+#include "Roles.h"
+
+namespace shallotdrift::standin {
+
+int runPlatformRole() { return 1; }
+
+} // namespace shallotdrift::standin
