--- a/shallotdrift/src/Settings/EntrySettings.h
+++ b/shallotdrift/src/Settings/EntrySettings.h
@@ -51,6 +51,9 @@
 // Parses and checks the settings as a whole; the error's message lists every mistake on a line of its own.
 Result<EntrySettings> parseEntrySettings(std::string_view ini, std::string_view source);
 
+// Content of a settings, configuration or handbook file, up to a little more than the parsers accept.
+Result<std::string> readSettingsFile(const std::string& path);
+
 // Reads the file and parses it.
 Result<EntrySettings> readEntrySettings(const std::string& path);
 
--- /dev/null
+++ b/shallotdrift/src/Settings/ForwardDeclarations.h
@@ -0,0 +1,20 @@
+#pragma once
+
+namespace shallotdrift {
+
+struct EntrySettings;
+struct FleetConfiguration;
+struct HandbookPlan;
+struct HandbookStep;
+struct KeyReference;
+
+namespace internal {
+    class IniText;
+    class Mistakes;
+    struct IniKey;
+    struct IniSection;
+    struct ValueForm;
+    template <typename T> struct KeyRule;
+} // namespace internal
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Settings/HandbookPlan.h
+++ b/shallotdrift/src/Settings/HandbookPlan.h
@@ -9,6 +9,8 @@
 
 namespace shallotdrift {
 
+struct FleetConfiguration;
+
 // One step of a handbook entry, from a section [step N].
 struct HandbookStep {
     enum class Action : uint8_t {
@@ -36,4 +38,7 @@
 // Parses and checks a handbook entry as a whole; mistakes are reported as for the configuration.
 Result<HandbookPlan> parseHandbook(std::string_view ini, std::string_view source);
 
+// Pools and zones that the plan names and the configuration does not have, each as a sentence.
+std::vector<std::string> unknownNames(const HandbookPlan&, const FleetConfiguration&);
+
 } // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Settings/KeyReference.cpp
@@ -0,0 +1,52 @@
+#include "KeyReference.h"
+
+#include "SettingsTables.h"
+
+#include <fmt/format.h>
+
+namespace shallotdrift {
+
+using internal::SectionRules;
+
+template <typename T>
+static void addRows(
+    const std::string& file, const std::string& section, const SectionRules<T>& rules, std::vector<KeyReference>& rows)
+{
+    const T defaults {};
+    for (const auto& rule : rules.keys) {
+        auto value = internal::valueText(rule, defaults);
+        if (rule.presence == internal::Presence::Required)
+            value = "required";
+        rows.push_back({ file, section, std::string(rule.key), rule.form.allowed(), value.empty() ? "-" : value,
+            std::string(rule.meaning) });
+    }
+}
+
+template <typename T>
+static void addRows(const std::string& file, const SectionRules<T>& rules, std::vector<KeyReference>& rows)
+{
+    addRows(file, fmt::format("[{}]", rules.section), rules, rows);
+}
+
+std::vector<KeyReference> settingsReference()
+{
+    std::vector<KeyReference> rows;
+    for (const auto& section : internal::entrySections())
+        addRows("settings", section, rows);
+    rows.push_back({ "settings", "[peers]", "ENTRY", internal::ValueForm::address().allowed(), "-",
+        "peer address of another entry instance, used until the log tells more" });
+    addRows("configuration", internal::zoneSection(), rows);
+    addRows("configuration", internal::poolSection(), rows);
+    addRows("configuration", internal::kindSection(), rows);
+    addRows("configuration", internal::teamSection(), rows);
+    addRows("configuration", internal::lendingSection(), rows);
+    addRows("configuration", internal::limitsSection(), rows);
+    addRows("handbook", internal::handbookSection(), rows);
+    const auto& steps = internal::stepSections();
+    const auto& actions = steps.front().keys.front().form.choices;
+    for (size_t i = 0; i < steps.size(); ++i)
+        addRows("handbook", fmt::format("[{}] action={}", steps[i].section, actions[i]), steps[i], rows);
+    return rows;
+}
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Settings/KeyReference.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace shallotdrift {
+
+// One key of the settings, the configuration or a handbook entry, as docs/configuration.md lists it.
+struct KeyReference {
+    std::string file; // "settings", "configuration" or "handbook"
+    std::string section;
+    std::string key;
+    std::string allowed;
+    std::string defaultValue; // "required" when the key has to be given, "-" when the default is empty
+    std::string meaning;
+};
+
+// All keys of the three kinds of files, from the tables that the parsers use.
+std::vector<KeyReference> settingsReference();
+
+} // namespace shallotdrift
