Add the entry process and the fleet layout for loopback runs

Cause: the modules need one process that joins them, and test runs need settings for many processes. Change: Entry module (decision loop, keyed requests, operation and task drivers, state keeper, metrics page, planned stop), the program's main file, and the stand-in role that lays out a fleet.

--- /dev/null
+++ b/app/main.cpp
@@ -0,0 +1,167 @@
+#include "shallotdrift/Base.h"
+#include "shallotdrift/Entry.h"
+#include "shallotdrift/Operators.h"
+#include "shallotdrift/Replay.h"
+#include "shallotdrift/Settings.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <string>
+#include <vector>
+
+DEFINE_string(settings, "", "settings file of the entry instance (INI)");
+DEFINE_string(entries, "127.0.0.1:7300", "operator addresses of entry instances, separated by commas, tried in order");
+DEFINE_string(operator_name, "", "name of the operator; under TLS the certificate's common name counts");
+DEFINE_string(change_id, "", "id of the change; give the printed one again to repeat a change whose answer was lost");
+DEFINE_string(reason, "", "reason of the change, kept in the audit trail");
+DEFINE_bool(json, false, "print JSON");
+DEFINE_int32(timeout_ms, 10000, "time for a command, in milliseconds");
+DEFINE_string(certificate_file, "", "operator's certificate (PEM)");
+DEFINE_string(key_file, "", "operator's private key (PEM)");
+DEFINE_string(authority_file, "", "authority of the entries' certificates (PEM)");
+
+namespace {
+
+using namespace shallotdrift; // NOLINT(google-build-using-namespace)
+using Words = std::vector<std::string>;
+
+constexpr int exitRefused = 1;
+constexpr int exitMistake = 2;
+
+std::vector<std::string> splitAtCommas(const std::string& text)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');)
+        parts.push_back(part);
+    return parts;
+}
+
+int runEntryCommand(const Words&)
+{
+    if (FLAGS_settings.empty()) {
+        std::cerr << "entry needs --settings=FILE\n";
+        return exitMistake;
+    }
+    return handleError(
+        []() -> Result<int> {
+            BOOST_LEAF_AUTO(settings, readEntrySettings(FLAGS_settings));
+            setLogLevel(settings.logLevel);
+            return runEntry(settings);
+        },
+        [](const Error& error) {
+            std::cerr << error.message << "\n";
+            return exitMistake;
+        });
+}
+
+int exitStatus(unsigned resultCode)
+{
+    if (resultCode == 0)
+        return 0;
+    return resultCode == static_cast<unsigned>(ResultCode::InvalidCommand) ? exitMistake : exitRefused;
+}
+
+Words withoutFirst(const Words& words)
+{
+    return { words.begin() + 1, words.end() };
+}
+
+int runOperator(const Words& words)
+{
+    OperatorCommandOptions options;
+    options.entryAddresses = splitAtCommas(FLAGS_entries);
+    options.operatorName = FLAGS_operator_name;
+    options.changeId = FLAGS_change_id;
+    options.reason = FLAGS_reason;
+    options.json = FLAGS_json;
+    options.timeout = Milliseconds { FLAGS_timeout_ms };
+    options.certificateFile = FLAGS_certificate_file;
+    options.keyFile = FLAGS_key_file;
+    options.authorityFile = FLAGS_authority_file;
+    return exitStatus(runOperatorCommand(words, options, std::cout, std::cerr));
+}
+
+int printCodes(const Words&)
+{
+    for (const auto& info : resultCodeTable())
+        std::cout << static_cast<unsigned>(info.code) << "\t" << nameOf(info.execution) << "\t" << info.name << "\t" << info.text << "\n";
+    return 0;
+}
+
+const char* usage()
+{
+    return "shallotdrift COMMAND [FLAGS]\n"
+           "  entry --settings=FILE               run an entry instance\n"
+           "  check-config FILE ...               check settings, configurations and handbook entries\n"
+           "  replay --trace=FILE                 replay a trace through the decision core\n"
+           "  generate-trace --scenario=NAME      write a trace\n"
+           "  codes                               list the result codes\n";
+}
+
+int printHelp(const Words&)
+{
+    std::cout << usage() << "Commands for operators:\n" << operatorCommandHelp();
+    return 0;
+}
+
+// Flags of gflags stay with gflags; the other words belong to the command.
+Words takeCommandWords(std::vector<char*>& arguments)
+{
+    Words words;
+    std::vector<char*> flags { arguments.front() };
+    for (size_t i = 1; i < arguments.size(); ++i) {
+        std::string word = arguments[i];
+        auto name = word.substr(0, word.find('='));
+        name.erase(0, name.find_first_not_of('-'));
+        gflags::CommandLineFlagInfo info;
+        bool known = word.rfind("--", 0) == 0 && gflags::GetCommandLineFlagInfo(name.c_str(), &info);
+        if (known || word == "--nojson")
+            flags.push_back(arguments[i]);
+        else
+            words.push_back(word);
+    }
+    arguments = flags;
+    return words;
+}
+
+const std::map<std::string, std::function<int(const Words&)>>& commands()
+{
+    static const std::map<std::string, std::function<int(const Words&)>> table {
+        { "entry", runEntryCommand },
+        { "codes", printCodes },
+        { "help", printHelp },
+        { "check-config",
+            [](const Words& words) { return exitStatus(runCheckConfigCommand(withoutFirst(words), std::cout, std::cerr)); } },
+        { "replay", [](const Words& words) { return exitStatus(runReplayCommand(withoutFirst(words), std::cout, std::cerr)); } },
+        { "generate-trace",
+            [](const Words& words) { return exitStatus(runGenerateCommand(withoutFirst(words), std::cout, std::cerr)); } },
+    };
+    return table;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::vector<char*> arguments(argv, argv + argc);
+    Words words = takeCommandWords(arguments);
+    gflags::SetUsageMessage(usage());
+    int flagCount = static_cast<int>(arguments.size());
+    char** flagWords = arguments.data();
+    gflags::ParseCommandLineFlags(&flagCount, &flagWords, true);
+    if (words.empty() || words.front() == "--help" || words.front() == "-h")
+        return printHelp(words);
+    auto command = commands().find(words.front());
+    if (command != commands().end())
+        return command->second(words);
+    if (isOperatorCommand(words.front()))
+        return runOperator(words);
+    std::cerr << "unknown command " << words.front() << "\n" << usage();
+    return exitMistake;
+}
--- /dev/null
+++ b/shallotdrift/src/Entry/Proposals.cpp
@@ -0,0 +1,35 @@
+#include "Proposals.h"
+
+namespace shallotdrift {
+
+bool Proposals::propose(proto::Record record, const std::string& reason, VerdictHandler handler)
+{
+    record.set_actor(context_.actor());
+    record.set_reason(reason);
+    return proposeAs(std::move(record), std::move(handler));
+}
+
+bool Proposals::proposeAs(proto::Record record, VerdictHandler handler)
+{
+    uint64_t sequence = context_.outputs.append(std::move(record));
+    if (!sequence)
+        return false;
+    if (handler)
+        handlers_.emplace(sequence, std::move(handler));
+    return true;
+}
+
+void Proposals::folded(const FoldedRecord& folded)
+{
+    const auto& id = folded.record.id();
+    if (id.writer() != context_.settings.id || id.boot() != context_.boot)
+        return;
+    auto position = handlers_.find(id.sequence());
+    if (position == handlers_.end())
+        return;
+    auto handler = std::move(position->second);
+    handlers_.erase(position);
+    handler(folded);
+}
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Settings/EntrySettings.h
+++ b/shallotdrift/src/Settings/EntrySettings.h
@@ -20,6 +20,7 @@
     std::string operatorAddress; // IP:port
     std::string metricsAddress; // IP:port
     std::string logLevel = "info";
+    bool fixedPeers = false; // addresses in [peers] come before those in the log
 
     // [platform]
     std::string platformAddress; // IP:port
--- a/standin/Roles.h
+++ b/standin/Roles.h
@@ -11,6 +11,8 @@
 int runLoadRole();
 // Relay: forwards TCP connections and can cut or silence them.
 int runRelayRole();
+// Fleet: writes the fleet file and the settings of all entries for a run on loopback.
+int runFleetRole();
 // Check: compares the journals of targets and callers against the promises.
 int runCheckRole();
 
