--- a/shallotdrift/src/Fold/FleetState.h
+++ b/shallotdrift/src/Fold/FleetState.h
@@ -201,6 +201,12 @@
     WallTime foldTime {};
 };
 
+// Whether nothing more happens to the object; the state keeps the last ones that ended. An aborted wave ends with the
+// last of its maintenances.
+bool hasEnded(const Move&);
+bool hasEnded(const Wave&);
+bool hasEnded(const Task&);
+
 // Instances of the pool that count towards its availability budget.
 uint32_t availableInPool(const FleetState&, const std::string& pool);
 
--- /dev/null
+++ b/test/SettingsStandIn.cpp
@@ -0,0 +1,1 @@
+#include "SettingsStandIn.h"
