--- a/shallotdrift/src/Peers/PeerBus.h
+++ b/shallotdrift/src/Peers/PeerBus.h
@@ -20,6 +20,17 @@
     Milliseconds silenceLimit { 5000 }; // a connection without a message for so long is dialled again
 };
 
+struct PeerBusCounters {
+    uint64_t received = 0;
+    uint64_t sent = 0; // once per receiver
+    uint64_t bytesReceived = 0; // of message bodies, with keep-alives
+    uint64_t bytesSent = 0; // of message bodies, without keep-alives
+    uint64_t unreachable = 0; // dropped: no connection, or its buffer is full
+    uint64_t oversized = 0; // dropped, on either side
+    uint64_t unparsable = 0; // dropped on receipt
+    uint64_t redials = 0;
+};
+
 // Sends and receives PeerMessages over nng, with a receiving thread of its own.
 class PeerBus {
 public:
@@ -35,6 +46,7 @@
     void setPeers(const std::map<std::string, std::string>&);
     // Fills in the sender; an empty receiver sends to all. A message for an unreachable peer is dropped.
     void send(proto::PeerMessage);
+    PeerBusCounters counters() const;
     void stop();
 
 private:
--- a/shallotdrift/src/Platform/LogWriter.h
+++ b/shallotdrift/src/Platform/LogWriter.h
@@ -21,6 +21,15 @@
     Milliseconds maximumBackoff { 5000 };
     uint32_t maximumAppendsPerSecond = 25;
     uint64_t seed = 1; // of the back-off's jitter
+    size_t maximumQueuedBytes = 8 << 20; // of records that are not yet appended; bounds the memory of an outage
+};
+
+struct LogWriterCounters {
+    uint64_t batches = 0;
+    uint64_t records = 0;
+    uint64_t failedAppends = 0;
+    uint64_t droppedBatches = 0; // refused for good
+    uint64_t droppedRecords = 0;
 };
 
 // Appends records in batches on a thread of its own, in order. A batch is repeated with the same record identities
@@ -37,6 +46,7 @@
     uint64_t submit(proto::Record);
     // False while appends fail; the first success after an outage sets it again.
     bool reachable() const;
+    LogWriterCounters counters() const;
     // Waits until all submitted records are appended, or the time is over. Returns whether all are.
     bool flush(Milliseconds timeout);
     void stop();
