--- /dev/null
+++ b/shallotdrift/src/Policy/AdmissionOrder.cpp
@@ -0,0 +1,93 @@
+#include "AdmissionOrder.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotdrift::internal {
+
+namespace {
+
+    bool earlierDeadline(const WorkItem& a, const WorkItem& b)
+    {
+        if (a.request.deadline != b.request.deadline)
+            return a.request.deadline < b.request.deadline;
+        return a.sequence < b.sequence;
+    }
+
+    bool earlierArrival(const WorkItem& a, const WorkItem& b) { return a.sequence < b.sequence; }
+
+    class SharesAndUrgencyOrder final : public AdmissionOrder {
+    public:
+        AdmissionQueue::Earlier earlier() const override { return earlierDeadline; }
+        bool refusesEarly() const override { return true; }
+
+        KindState* next(const PoolState& pool, Instant now) const override
+        {
+            if (auto* kind = mostBelowShare(pool, now))
+                return kind;
+            KindState* best = nullptr;
+            for (auto* kind : pool.kinds) {
+                if (!kind->queue.empty() && (!best || precedes(*kind, *best)))
+                    best = kind;
+            }
+            return best;
+        }
+
+    private:
+        static bool precedes(const KindState& a, const KindState& b)
+        {
+            if (a.configuration.urgency != b.configuration.urgency)
+                return a.configuration.urgency < b.configuration.urgency;
+            return earlierDeadline(*a.queue.first(), *b.queue.first());
+        }
+
+        // A kind is below its share only when both its average over the last second and its present use are, so that
+        // a kind that starts after a pause is not served ahead of all others for a whole second.
+        static KindState* mostBelowShare(const PoolState& pool, Instant now)
+        {
+            double slots = pool.effectiveSlots();
+            KindState* best = nullptr;
+            double largest = 0;
+            for (auto* kind : pool.kinds) {
+                if (kind->queue.empty() || kind->configuration.guaranteedShare <= 0)
+                    continue;
+                double guaranteed = kind->configuration.guaranteedShare * slots;
+                double used = std::max<double>(kind->usage.average(now), kind->usage.current());
+                double deficit = (guaranteed - used) / guaranteed;
+                if (deficit > largest) {
+                    largest = deficit;
+                    best = kind;
+                }
+            }
+            return best;
+        }
+    };
+
+    class FirstInFirstOutOrder final : public AdmissionOrder {
+    public:
+        AdmissionQueue::Earlier earlier() const override { return earlierArrival; }
+        bool refusesEarly() const override { return false; }
+
+        KindState* next(const PoolState& pool, Instant) const override
+        {
+            KindState* best = nullptr;
+            for (auto* kind : pool.kinds) {
+                if (!kind->queue.empty() && (!best || earlierArrival(*kind->queue.first(), *best->queue.first())))
+                    best = kind;
+            }
+            return best;
+        }
+    };
+
+} // namespace
+
+const AdmissionOrder& admissionOrder(AdmissionRule rule)
+{
+    static const SharesAndUrgencyOrder shares;
+    static const FirstInFirstOutOrder firstInFirstOut;
+    if (rule == AdmissionRule::FirstInFirstOut)
+        return firstInFirstOut;
+    return shares;
+}
+
+} // namespace shallotdrift::internal
--- a/shallotdrift/src/Policy/Scheduler.h
+++ b/shallotdrift/src/Policy/Scheduler.h
@@ -3,6 +3,7 @@
 #include "../Base/ResultCode.h"
 #include "../Base/Time.h"
 #include "../Fold/FleetState.h"
+#include "SchedulingRules.h"
 
 #include <cstdint>
 #include <map>
@@ -75,6 +76,8 @@
 struct SchedulerOptions {
     uint64_t seed = 1;
     std::string zone; // of this entry; its own zone's instances are preferred at equal expected wait
+    AdmissionRule admission = AdmissionRule::SharesAndUrgency;
+    PlacementRule placement = PlacementRule::ExpectedWait;
 };
 
 // Queued and running work of a pool at this entry, in slots.
