--- a/shallotdrift/src/Policy/LendingPlanner.cpp
+++ b/shallotdrift/src/Policy/LendingPlanner.cpp
@@ -1,8 +1,226 @@
+// Objective: the least work refused or late, at a limited number of moves. A move takes an instance out of service
+// for the time of its drain and reboot, so it pays only when the flood outlasts it.
+//
+// Policy, in this order, within the limit of moves under way:
+//  1. A pool whose demand exceeds its instances at the target utilization borrows, the most urgent pool first, when
+//     the flood is expected to last at least twice as long as a move.
+//  2. When past floods followed each other regularly, the pool of the next flood borrows before its flood begins.
+//     Short floods are over before a reactive move has ended, so only this helps them.
+//  3. Borrowed instances go home once their pool has been quiet and they were held for the minimum time.
+// A pool lends what it does not need itself, and never goes below its minimum. A pool with urgent work does not lend
+// to a pool with bulk work only: its next flood would find its instances away. A flooded pool gives up borrowed
+// instances only to more urgent work.
 #include "LendingPlanner.h"
 
+#include "FloodModel.h"
+#include "MoveHistory.h"
+#include "PoolLedger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <spdlog/fmt/fmt.h>
+#include <tuple>
+
 namespace shallotdrift {
 
-class LendingPlanner::Implementation { };
+using internal::FloodModel;
+using internal::MoveHistory;
+using internal::PoolLedger;
+
+namespace {
+
+    // A move must be outlasted by its flood by this factor.
+    constexpr double payOffFactor = 2;
+    // Added to the move time when a predicted flood is prepared, for starts that come early.
+    constexpr double preparationSeconds = 3;
+    // Kept by a lending pool beyond its need, because its demand is measured with a delay of about a second.
+    constexpr uint32_t lenderHeadroom = 1;
+
+    uint32_t instancesFor(double slots, const PoolLedger::Pool& pool, double utilization)
+    {
+        return static_cast<uint32_t>(std::ceil(slots / (pool.slotsPerInstance * utilization) - 1e-9));
+    }
+
+} // namespace
+
+class LendingPlanner::Implementation {
+public:
+    std::vector<PlannedMove> plan(
+        const FleetState&, const PoolDemands&, const std::set<std::string>& silentZones, Instant now);
+
+private:
+    // Inputs and results of one round.
+    struct Round {
+        const FleetState& state;
+        const std::set<std::string>& silentZones;
+        Instant now;
+        PoolLedger ledger;
+        std::vector<PlannedMove> moves;
+
+        const LendingConfiguration& lending() const { return state.configuration.lending; }
+        bool full() const { return ledger.movesUnderWay() >= lending().maximumConcurrentMoves; }
+    };
+    struct Donation {
+        PoolLedger::Pool* from = nullptr;
+        const Instance* instance = nullptr;
+    };
+
+    void learn(Round&, const PoolDemands&);
+    void lendToFloods(Round&);
+    void prepareNextFlood(Round&);
+    void returnBorrowed(Round&);
+    void fill(Round&, PoolLedger::Pool& to, uint32_t wanted, const std::string& why);
+    Donation findDonation(Round&, const PoolLedger::Pool& to);
+    bool mayLend(const Round&, const PoolLedger::Pool& from, const PoolLedger::Pool& to) const;
+    static void move(Round&, PoolLedger::Pool& from, PoolLedger::Pool& to, const Instance&, std::string reason);
+
+    FloodModel floods_;
+    MoveHistory history_;
+};
+
+std::vector<PlannedMove> LendingPlanner::Implementation::plan(
+    const FleetState& state, const PoolDemands& demands, const std::set<std::string>& silentZones, Instant now)
+{
+    Round round { state, silentZones, now, PoolLedger(state), {} };
+    learn(round, demands);
+    if (!round.lending().enabled)
+        return {};
+    lendToFloods(round);
+    prepareNextFlood(round);
+    returnBorrowed(round);
+    return std::move(round.moves);
+}
+
+void LendingPlanner::Implementation::learn(Round& round, const PoolDemands& demands)
+{
+    history_.observe(round.state, round.now);
+    double utilization = round.lending().targetUtilization;
+    for (auto& [name, pool] : round.ledger.pools()) {
+        auto demand = demands.find(name);
+        double slots = demand == demands.end() ? 0 : demand->second;
+        floods_.update(name, slots, pool.home * pool.slotsPerInstance * utilization, round.now);
+        pool.need = instancesFor(floods_.currentSlots(name), pool, utilization);
+        pool.slowNeed = instancesFor(floods_.recentSlots(name), pool, utilization);
+    }
+}
+
+void LendingPlanner::Implementation::lendToFloods(Round& round)
+{
+    std::vector<PoolLedger::Pool*> flooded;
+    for (auto& [name, pool] : round.ledger.pools()) {
+        bool paysOff = floods_.remainingSeconds(name, round.now) >= payOffFactor * history_.moveSeconds();
+        if (pool.configuration->borrows && floods_.flooded(name) && paysOff
+            && pool.need > pool.available + pool.incoming)
+            flooded.push_back(&pool);
+    }
+    std::stable_sort(
+        flooded.begin(), flooded.end(), [](const auto* a, const auto* b) { return a->urgency < b->urgency; });
+    for (auto* pool : flooded) {
+        fill(round, *pool, pool->need,
+            fmt::format("flood: demand {:.0f} slots needs {} instances, {} available, {} coming",
+                floods_.currentSlots(pool->name), pool->need, pool->available, pool->incoming));
+    }
+}
+
+void LendingPlanner::Implementation::prepareNextFlood(Round& round)
+{
+    auto next = floods_.next(round.now);
+    auto* pool = next ? round.ledger.find(next->pool) : nullptr;
+    if (!pool || !pool->configuration->borrows || floods_.flooded(next->pool))
+        return;
+    double until = std::chrono::duration<double>(next->expectedStart - round.now).count();
+    if (until > history_.moveSeconds() + preparationSeconds)
+        return;
+    uint32_t wanted = instancesFor(next->peakSlots, *pool, round.lending().targetUtilization);
+    fill(round, *pool, wanted,
+        fmt::format("next flood expected in {:.0f} s ({:.0f}% of the past ones): peak {:.0f} slots needs {} instances",
+            until, next->confidence * 100, next->peakSlots, wanted));
+    // Keeps what was prepared from being lent or returned until the flood has come or failed to come.
+    pool->need = std::max(pool->need, wanted);
+    pool->slowNeed = std::max(pool->slowNeed, wanted);
+}
+
+void LendingPlanner::Implementation::fill(Round& round, PoolLedger::Pool& to, uint32_t wanted, const std::string& why)
+{
+    while (to.available + to.incoming < wanted && !round.full()) {
+        auto donation = findDonation(round, to);
+        if (!donation.instance)
+            return;
+        move(round, *donation.from, to, *donation.instance,
+            fmt::format("{}; {} keeps {}, minimum {}, need {}", why, donation.from->name, donation.from->available - 1,
+                donation.from->configuration->minimumAvailable, donation.from->need));
+    }
+}
+
+bool LendingPlanner::Implementation::mayLend(
+    const Round& round, const PoolLedger::Pool& from, const PoolLedger::Pool& to) const
+{
+    if (&from == &to || !from.configuration->lends)
+        return false;
+    if (from.urgency == Urgency::Urgent && to.urgency == Urgency::Bulk)
+        return false;
+    if (floods_.flooded(from.name) && from.available <= from.need) {
+        // Instances borrowed for less urgent work.
+        return to.urgency < from.urgency && from.available > from.home
+            && floods_.remainingSeconds(to.name, round.now) > 0;
+    }
+    return from.available > from.need + lenderHeadroom;
+}
+
+LendingPlanner::Implementation::Donation LendingPlanner::Implementation::findDonation(
+    Round& round, const PoolLedger::Pool& to)
+{
+    // Smaller is better: answering zone, home of the flooded pool, spare pool, borrowed instance, unused instances.
+    using Rank = std::tuple<bool, bool, bool, bool, double, std::string>;
+    Donation best;
+    Rank bestRank;
+    for (auto& [name, from] : round.ledger.pools()) {
+        if (!mayLend(round, from, to))
+            continue;
+        double unused
+            = static_cast<double>(from.available - std::min(from.available, from.need)) / std::max(1U, from.available);
+        for (const auto* instance : from.movable) {
+            if (!PoolLedger::mayLeave(from, *instance)
+                || !history_.heldFor(instance->id, round.lending().minimumHold, round.now))
+                continue;
+            Rank rank { round.silentZones.count(instance->zone) > 0, instance->homePool != to.name,
+                !from.configuration->spare, !instance->lent(), -unused, instance->rack + "/" + instance->id };
+            if (!best.instance || rank < bestRank) {
+                best = { &from, instance };
+                bestRank = std::move(rank);
+            }
+        }
+    }
+    return best;
+}
+
+void LendingPlanner::Implementation::returnBorrowed(Round& round)
+{
+    for (auto& [name, from] : round.ledger.pools()) {
+        if (floods_.flooded(name))
+            continue;
+        auto movable = from.movable;
+        for (const auto* instance : movable) {
+            auto* home = round.ledger.find(instance->homePool);
+            if (round.full() || from.available <= from.slowNeed + lenderHeadroom)
+                break;
+            if (!home || home == &from || !PoolLedger::mayLeave(from, *instance)
+                || round.silentZones.count(instance->zone)
+                || !history_.heldFor(instance->id, round.lending().minimumHold, round.now))
+                continue;
+            move(round, from, *home, *instance,
+                fmt::format("return: demand {:.0f} slots needs {} of {} instances", floods_.recentSlots(name),
+                    from.slowNeed, from.available));
+        }
+    }
+}
+
+void LendingPlanner::Implementation::move(
+    Round& round, PoolLedger::Pool& from, PoolLedger::Pool& to, const Instance& instance, std::string reason)
+{
+    round.moves.push_back({ instance.id, instance.epoch, to.name, std::move(reason) });
+    round.ledger.recordMove(from, to, instance);
+}
 
 LendingPlanner::LendingPlanner()
     : implementation_(std::make_unique<Implementation>())
@@ -12,9 +230,9 @@
 LendingPlanner::~LendingPlanner() = default;
 
 std::vector<PlannedMove> LendingPlanner::plan(
-    const FleetState&, const PoolDemands&, const std::set<std::string>&, Instant)
+    const FleetState& state, const PoolDemands& demands, const std::set<std::string>& silentZones, Instant now)
 {
-    return {};
+    return implementation_->plan(state, demands, silentZones, now);
 }
 
 } // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Policy/PoolLedger.cpp
@@ -0,0 +1,83 @@
+#include "PoolLedger.h"
+
+#include <algorithm>
+
+namespace shallotdrift::internal {
+
+PoolLedger::PoolLedger(const FleetState& state)
+{
+    for (const auto& [name, configuration] : state.configuration.pools) {
+        auto& pool = pools_[name];
+        pool.configuration = &configuration;
+        pool.name = name;
+    }
+    for (const auto& [name, kind] : state.configuration.kinds) {
+        if (auto* pool = find(kind.pool))
+            pool->urgency = std::min(pool->urgency, kind.urgency);
+    }
+    countInstances(state);
+    countMoves(state);
+}
+
+PoolLedger::Pool* PoolLedger::find(const std::string& name)
+{
+    auto position = pools_.find(name);
+    return position == pools_.end() ? nullptr : &position->second;
+}
+
+void PoolLedger::countInstances(const FleetState& state)
+{
+    std::map<std::string, uint32_t> slots;
+    std::map<std::string, uint32_t> counts;
+    for (const auto& [id, instance] : state.instances) {
+        if (auto* home = find(instance.homePool))
+            ++home->home;
+        auto* pool = find(instance.pool);
+        if (!pool)
+            continue;
+        slots[instance.pool] += instance.shape.slots;
+        ++counts[instance.pool];
+        if (!instance.lost)
+            pool->racks.insert(instance.rack);
+        if (instance.available()) {
+            ++pool->available;
+            if (instance.operationId.empty())
+                pool->movable.push_back(&instance);
+        } else if (!instance.lost && instance.status != InstanceStatus::Active) {
+            pool->busyRack = instance.rack;
+        }
+    }
+    for (auto& [name, pool] : pools_) {
+        if (counts[name] && slots[name])
+            pool.slotsPerInstance = static_cast<double>(slots[name]) / counts[name];
+    }
+}
+
+void PoolLedger::countMoves(const FleetState& state)
+{
+    for (const auto& [id, move] : state.moves) {
+        if (move.status != MoveStatus::Closing && move.status != MoveStatus::Closed)
+            continue;
+        if (move.invocationId.empty())
+            ++movesUnderWay_;
+        if (auto* pool = find(move.toPool))
+            ++pool->incoming;
+    }
+}
+
+bool PoolLedger::mayLeave(const Pool& pool, const Instance& instance)
+{
+    bool rackFree = pool.busyRack.empty() || pool.busyRack == instance.rack || pool.racks.size() < 2;
+    return rackFree && pool.available > pool.configuration->minimumAvailable;
+}
+
+void PoolLedger::recordMove(Pool& from, Pool& to, const Instance& instance)
+{
+    --from.available;
+    ++to.incoming;
+    from.busyRack = instance.rack;
+    from.movable.erase(std::find(from.movable.begin(), from.movable.end(), &instance));
+    ++movesUnderWay_;
+}
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Policy/PoolLedger.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "../Fold/FleetState.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shallotdrift::internal {
+
+// Counts of the pools during one planning round, with the moves planned so far in that round.
+class PoolLedger {
+public:
+    struct Pool {
+        const PoolConfiguration* configuration = nullptr;
+        std::string name;
+        Urgency urgency = Urgency::Bulk; // of its most urgent kind
+        uint32_t available = 0; // active, neither lost nor leaving, less those planned to leave
+        uint32_t incoming = 0; // moves to the pool under way or planned
+        uint32_t home = 0; // instances whose home it is
+        double slotsPerInstance = 8;
+        std::string busyRack; // rack of the pool that is under planned work
+        std::set<std::string> racks;
+        std::vector<const Instance*> movable; // may be moved by the planner
+        uint32_t need = 0; // instances, by current demand
+        uint32_t slowNeed = 0; // instances, by recent demand
+    };
+
+    explicit PoolLedger(const FleetState&);
+
+    std::map<std::string, Pool>& pools() { return pools_; }
+    Pool* find(const std::string&);
+    uint32_t movesUnderWay() const { return movesUnderWay_; }
+
+    // The pool stays at or above its minimum, and only one of its racks is under planned work.
+    static bool mayLeave(const Pool&, const Instance&);
+    void recordMove(Pool& from, Pool& to, const Instance&);
+
+private:
+    void countInstances(const FleetState&);
+    void countMoves(const FleetState&);
+
+    std::map<std::string, Pool> pools_;
+    uint32_t movesUnderWay_ = 0;
+};
+
+} // namespace shallotdrift::internal
