--- a/shallotdrift/src/Entry/CoreContext.h
+++ b/shallotdrift/src/Entry/CoreContext.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "../Callers/CallerServer.h"
-#include "../Fold/Fold.h"
+#include "../../Fold.h"
 #include "../Settings/EntrySettings.h"
 #include "../Targets/TargetClient.h"
 #include "ForwardDeclarations.h"
--- a/shallotdrift/src/Entry/KeyedRequests.cpp
+++ b/shallotdrift/src/Entry/KeyedRequests.cpp
@@ -104,9 +104,10 @@
     auto existing = context_.state().keys.find(key);
     if (existing != context_.state().keys.end())
         return replyFromState(waiting.request, key, existing->second, BootClock::now());
-    reply_(waiting.request, refusal(folded.verdict.code == ResultCode::KeyTooOld ? ResultCode::KeyTooOld
-                                                                                  : ResultCode::LogUnavailable,
-                                "the log refused the key: " + folded.verdict.figures));
+    auto execution = executionOf(folded.verdict.code);
+    bool forCallers = execution == Execution::NotRun || execution == Execution::MayHaveRun;
+    reply_(waiting.request,
+        refusal(forCallers ? folded.verdict.code : ResultCode::LogUnavailable, "refused by the log: " + folded.verdict.figures));
 }
 
 void KeyedRequests::intentAccepted(const std::string& key, const Waiting& waiting)
--- a/shallotdrift/src/Entry/Metrics.h
+++ b/shallotdrift/src/Entry/Metrics.h
@@ -2,6 +2,8 @@
 
 #include "../Base/Time.h"
 
+#include <sstream> // extended_p_square_quantile.hpp uses it without including it
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
--- a/shallotdrift/src/Entry/StateKeeper.cpp
+++ b/shallotdrift/src/Entry/StateKeeper.cpp
@@ -15,6 +15,8 @@
 static constexpr Milliseconds snapshotInterval { std::chrono::minutes(2) };
 static constexpr Milliseconds peerRequestInterval { 1000 };
 static constexpr Milliseconds serveInterval { 500 };
+// An entry has 32 MB in all; a snapshot at the size in two years is below 3 MB.
+static constexpr SnapshotAssemblerOptions assemblerOptions { 6 << 20, 2 };
 
 StateKeeper::StateKeeper(
     CoreContext& context, Proposals& proposals, PeerDirectory& peers, FoldedHandler onFolded, ReplacedHandler onReplaced)
@@ -23,6 +25,8 @@
     , peers_(peers)
     , onFolded_(std::move(onFolded))
     , onReplaced_(std::move(onReplaced))
+    , logSnapshots_(assemblerOptions)
+    , peerSnapshots_(assemblerOptions)
 {
 }
 
@@ -34,7 +38,7 @@
     if (!scanning_ && wanted < page.earliest) {
         logger("fold")->warn("the log keeps nothing below offset {}, offset {} is missing", page.earliest, wanted);
         scanning_ = true;
-        logSnapshots_ = SnapshotAssembler();
+        logSnapshots_ = SnapshotAssembler(assemblerOptions);
         return page.earliest;
     }
     return scanning_ ? scan(page, now) : follow(page, now);
@@ -136,15 +140,10 @@
     if (now - last < serveInterval)
         return;
     last = now;
-    for (const auto& chunk : splitSnapshot(context_.fold.offset(), context_.fold.snapshot())) {
+    for (auto& part : SnapshotWriter(context_.fold.offset(), context_.fold.snapshot()).parts()) {
         proto::PeerMessage message;
         message.set_receiver(peer);
-        auto* part = message.mutable_snapshot_part();
-        part->set_snapshot_offset(chunk.snapshot_offset());
-        part->set_index(chunk.index());
-        part->set_count(chunk.count());
-        part->set_checksum(chunk.checksum());
-        part->set_data(chunk.data());
+        *message.mutable_snapshot_part() = std::move(part);
         context_.outputs.sendPeer(std::move(message));
     }
 }
@@ -180,11 +179,8 @@
     lastSnapshot_ = context_.fold.offset();
     lastSnapshotAt_ = now;
     snapshotDueSince_ = {};
-    for (auto& chunk : splitSnapshot(context_.fold.offset(), context_.fold.snapshot())) {
-        proto::Record record;
-        *record.mutable_snapshot_chunk() = std::move(chunk);
+    for (auto& record : SnapshotWriter(context_.fold.offset(), context_.fold.snapshot()).records())
         proposals_.propose(std::move(record), "");
-    }
     context_.metrics.count("snapshots_written_total");
 }
 
