--- /dev/null
+++ b/shallotdrift/src/Http/Address.cpp
@@ -0,0 +1,46 @@
+#include "Address.h"
+
+#include "HttpMessage.h"
+
+#include <fmt/format.h>
+
+namespace shallotdrift {
+
+using asio::ip::tcp;
+
+static constexpr uint64_t highestPort = 65535;
+
+Result<tcp::endpoint> parseAddress(std::string_view text)
+{
+    auto colon = text.rfind(':');
+    auto host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']')
+        host = host.substr(1, host.size() - 2);
+    auto port = colon == std::string_view::npos ? std::nullopt : parseNumber(text.substr(colon + 1), highestPort);
+    std::error_code error;
+    auto address = asio::ip::make_address(std::string(host), error);
+    if (!port || error)
+        return fail(ResultCode::InvalidSettings, fmt::format("address \"{}\" is not IP:port", text));
+    return tcp::endpoint(address, static_cast<uint16_t>(*port));
+}
+
+Result<void> listen(tcp::acceptor& acceptor, const tcp::endpoint& endpoint)
+{
+    std::error_code error;
+    auto check = [&error](auto&& step) {
+        if (!error)
+            step();
+    };
+    check([&] { acceptor.open(endpoint.protocol(), error); });
+    check([&] { acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
+    check([&] { acceptor.bind(endpoint, error); });
+    check([&] { acceptor.listen(asio::socket_base::max_listen_connections, error); });
+    if (!error)
+        return {};
+    std::error_code ignored;
+    acceptor.close(ignored);
+    return fail(ResultCode::InvalidSettings,
+        fmt::format("cannot listen on {}:{}: {}", endpoint.address().to_string(), endpoint.port(), error.message()));
+}
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Http/DeadlineQueue.cpp
@@ -0,0 +1,71 @@
+#include "DeadlineQueue.h"
+
+#include <algorithm>
+
+namespace shallotdrift {
+
+// The timer's clock stops while the machine is suspended, the deadlines' clock does not.
+static constexpr Milliseconds longestWait { 1000 };
+
+DeadlineQueue::DeadlineQueue(asio::io_context& context)
+    : timer_(context)
+{
+}
+
+void DeadlineQueue::set(Expiring& item, Instant deadline)
+{
+    item.deadline_ = deadline;
+    if (item.queued_) {
+        if (item.position_->first <= deadline)
+            return; // fire() puts it back when its queue position comes up
+        queue_.erase(item.position_);
+    }
+    item.position_ = queue_.emplace(deadline, &item);
+    item.queued_ = true;
+    if (deadline < armedFor_)
+        arm();
+}
+
+void DeadlineQueue::remove(Expiring& item)
+{
+    item.deadline_ = Expiring::never;
+    if (!item.queued_)
+        return;
+    queue_.erase(item.position_);
+    item.queued_ = false;
+}
+
+void DeadlineQueue::arm()
+{
+    if (queue_.empty()) {
+        armedFor_ = Instant::max();
+        return;
+    }
+    auto now = BootClock::now();
+    armedFor_ = std::min<Instant>(queue_.begin()->first, now + longestWait);
+    timer_.expires_after(std::max(armedFor_ - now, Duration::zero()));
+    timer_.async_wait([this](std::error_code error) {
+        if (!error)
+            fire();
+    });
+}
+
+void DeadlineQueue::fire()
+{
+    auto now = BootClock::now();
+    while (!queue_.empty() && queue_.begin()->first <= now) {
+        Expiring& item = *queue_.begin()->second;
+        queue_.erase(queue_.begin());
+        item.queued_ = false;
+        if (item.deadline_ <= now) {
+            item.deadline_ = Expiring::never;
+            item.expired();
+        } else if (item.deadline_ != Expiring::never) {
+            item.position_ = queue_.emplace(item.deadline_, &item);
+            item.queued_ = true;
+        }
+    }
+    arm();
+}
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Http/HttpMessage.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace shallotdrift {
+
+struct HttpHeader {
+    std::string name;
+    std::string value;
+};
+
+// One HTTP/1.1 request or response.
+struct HttpMessage {
+    std::string method; // requests only
+    std::string target; // requests only: path and query
+    unsigned status = 0; // responses only
+    bool keepAlive = false;
+    bool hasContentLength = false;
+    std::vector<HttpHeader> headers;
+    std::string body;
+
+    // Value of the first header of this name (case is ignored); null when absent.
+    const std::string* find(std::string_view name) const;
+    size_t count(std::string_view name) const;
+    // Value of a header that appears exactly once; empty otherwise.
+    std::string_view single(std::string_view name) const;
+};
+
+bool equalIgnoringCase(std::string_view, std::string_view);
+
+// True for 1 to maximumLength visible ASCII characters.
+bool isVisibleText(std::string_view, size_t maximumLength);
+
+// Decimal digits only; empty when malformed or above the maximum.
+std::optional<uint64_t> parseNumber(std::string_view, uint64_t maximum);
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Http/HttpReader.cpp
@@ -0,0 +1,184 @@
+#include "HttpReader.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace shallotdrift {
+
+// Bytes of a header line that the parser's callbacks do not report: the colon, one space and the line end.
+static constexpr size_t headerLineOverhead = 4;
+
+struct HttpReader::Callbacks {
+    static HttpReader& self(http_parser* parser) { return *static_cast<HttpReader*>(parser->data); }
+
+    static int url(http_parser* parser, const char* at, size_t length)
+    {
+        self(parser).message_.target.append(at, length);
+        return self(parser).countHeaderBytes(length);
+    }
+    static int field(http_parser* parser, const char* at, size_t length)
+    {
+        return self(parser).addHeaderField({ at, length });
+    }
+    static int value(http_parser* parser, const char* at, size_t length)
+    {
+        return self(parser).addHeaderValue({ at, length });
+    }
+    static int headers(http_parser* parser) { return self(parser).finishHeaders(); }
+    static int body(http_parser* parser, const char* at, size_t length) { return self(parser).addBody({ at, length }); }
+    static int complete(http_parser* parser) { return self(parser).finishMessage(); }
+
+    static const http_parser_settings& settings()
+    {
+        static const http_parser_settings table = [] {
+            http_parser_settings value {};
+            http_parser_settings_init(&value);
+            value.on_url = url;
+            value.on_header_field = field;
+            value.on_header_value = Callbacks::value;
+            value.on_headers_complete = headers;
+            value.on_body = body;
+            value.on_message_complete = complete;
+            return value;
+        }();
+        return table;
+    }
+};
+
+HttpReader::HttpReader(Type type, HttpLimits limits)
+    : limits_(limits)
+    , type_(type)
+{
+    reset();
+}
+
+void HttpReader::reset()
+{
+    http_parser_init(&parser_, type_ == Type::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    state_ = State::Reading;
+    failure_ = Failure::None;
+    started_ = false;
+    headersComplete_ = false;
+    inHeaderValue_ = false;
+    headerBytes_ = 0;
+    message_ = {};
+}
+
+size_t HttpReader::feed(std::string_view bytes)
+{
+    if (state_ != State::Reading || bytes.empty())
+        return 0;
+    started_ = true;
+    parser_.data = this; // set here because the reader may have been moved
+    size_t used = http_parser_execute(&parser_, &Callbacks::settings(), bytes.data(), bytes.size());
+    if (state_ != State::Reading)
+        return used;
+    auto error = HTTP_PARSER_ERRNO(&parser_);
+    if (error == HPE_HEADER_OVERFLOW)
+        failWith(Failure::HeaderTooLarge);
+    else if (error != HPE_OK || parser_.upgrade)
+        failWith(Failure::Malformed);
+    return used;
+}
+
+const char* HttpReader::failureText() const
+{
+    switch (failure_) {
+    case Failure::None:
+        return "";
+    case Failure::HeaderTooLarge:
+        return "the header exceeds its size limit";
+    case Failure::BodyTooLarge:
+        return "the body exceeds its size limit";
+    case Failure::Malformed:
+        break;
+    }
+    return parser_.upgrade ? "protocol upgrades are not supported"
+                           : http_errno_description(HTTP_PARSER_ERRNO(&parser_));
+}
+
+HttpMessage HttpReader::take()
+{
+    auto message = std::move(message_);
+    reset();
+    return message;
+}
+
+int HttpReader::failWith(Failure failure)
+{
+    failure_ = failure;
+    state_ = State::Failed;
+    return 1;
+}
+
+int HttpReader::countHeaderBytes(size_t length)
+{
+    headerBytes_ += length;
+    return headerBytes_ > limits_.maximumHeaderBytes ? failWith(Failure::HeaderTooLarge) : 0;
+}
+
+int HttpReader::addHeaderField(std::string_view text)
+{
+    if (!headersComplete_) { // trailers are counted but not kept: nothing may rely on them
+        if (inHeaderValue_ || message_.headers.empty())
+            message_.headers.emplace_back();
+        message_.headers.back().name.append(text);
+        inHeaderValue_ = false;
+    }
+    return countHeaderBytes(text.size() + headerLineOverhead);
+}
+
+int HttpReader::addHeaderValue(std::string_view text)
+{
+    if (!headersComplete_) {
+        message_.headers.back().value.append(text);
+        inHeaderValue_ = true;
+    }
+    return countHeaderBytes(text.size());
+}
+
+int HttpReader::finishHeaders()
+{
+    headersComplete_ = true;
+    message_.hasContentLength = (parser_.flags & F_CONTENTLENGTH) != 0;
+    message_.keepAlive = http_should_keep_alive(&parser_) != 0;
+    if (type_ == Type::Request)
+        message_.method = http_method_str(static_cast<http_method>(parser_.method));
+    else
+        message_.status = parser_.status_code;
+    if (parser_.http_major != 1 || !hasPlainHeaderNames())
+        failWith(Failure::Malformed);
+    else if (message_.hasContentLength && parser_.content_length > limits_.maximumBodyBytes)
+        failWith(Failure::BodyTooLarge);
+    // A positive value other than 1 and 2 stops the parser; 1 would only skip the body.
+    return state_ == State::Failed ? -1 : 0;
+}
+
+// The parser as Debian builds it accepts spaces in names and then overlooks for example "Content-Length : 5", so two
+// readers of one stream could see different messages.
+bool HttpReader::hasPlainHeaderNames() const
+{
+    return std::all_of(message_.headers.begin(), message_.headers.end(),
+        [this](const HttpHeader& header) { return isVisibleText(header.name, limits_.maximumHeaderBytes); });
+}
+
+int HttpReader::addBody(std::string_view text)
+{
+    if (message_.body.size() + text.size() > limits_.maximumBodyBytes)
+        return failWith(Failure::BodyTooLarge);
+    if (message_.body.empty() && message_.hasContentLength)
+        message_.body.reserve(parser_.content_length + text.size());
+    message_.body.append(text);
+    return 0;
+}
+
+int HttpReader::finishMessage()
+{
+    if (parser_.upgrade)
+        return failWith(Failure::Malformed);
+    state_ = State::Complete;
+    http_parser_pause(&parser_, 1);
+    return 0;
+}
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Http/HttpReader.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "HttpMessage.h"
+
+#include <http_parser.h>
+
+namespace shallotdrift {
+
+struct HttpLimits {
+    size_t maximumHeaderBytes = 16 << 10;
+    size_t maximumBodyBytes = 1 << 20;
+};
+
+// Reads HTTP/1.1 messages from a byte stream, one at a time, within limits.
+class HttpReader {
+public:
+    enum class Type : uint8_t { Request, Response };
+    enum class State : uint8_t { Reading, Complete, Failed };
+    enum class Failure : uint8_t { None, Malformed, HeaderTooLarge, BodyTooLarge };
+
+    HttpReader(Type, HttpLimits);
+
+    // Returns the number of bytes used. Stops after a complete message or at a failure.
+    size_t feed(std::string_view bytes);
+
+    State state() const { return state_; }
+    Failure failure() const { return failure_; }
+    const char* failureText() const;
+    // A byte of the current message has been read.
+    bool started() const { return started_; }
+    bool headersComplete() const { return headersComplete_; }
+    const HttpMessage& message() const { return message_; }
+
+    // Takes the message and makes the reader ready for the next one.
+    HttpMessage take();
+
+private:
+    struct Callbacks;
+
+    void reset();
+    int failWith(Failure);
+    int countHeaderBytes(size_t);
+    int addHeaderField(std::string_view);
+    int addHeaderValue(std::string_view);
+    int finishHeaders();
+    bool hasPlainHeaderNames() const;
+    int addBody(std::string_view);
+    int finishMessage();
+
+    http_parser parser_ {};
+    HttpLimits limits_;
+    Type type_;
+    State state_ = State::Reading;
+    Failure failure_ = Failure::None;
+    bool started_ = false;
+    bool headersComplete_ = false;
+    bool inHeaderValue_ = false;
+    size_t headerBytes_ = 0;
+    HttpMessage message_;
+};
+
+} // namespace shallotdrift
