Estimate single quantiles in the metrics

Cause: the estimator of several quantiles leaves a member uninitialized, which the warnings as errors refuse. Change: one single-quantile accumulator for each quantile. Result: the Entry module compiles.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -67,10 +67,7 @@
     return resultCode == static_cast<unsigned>(ResultCode::InvalidCommand) ? exitMistake : exitRefused;
 }
 
-Words withoutFirst(const Words& words)
-{
-    return { words.begin() + 1, words.end() };
-}
+Words withoutFirst(const Words& words) { return { words.begin() + 1, words.end() }; }
 
 int runOperator(const Words& words)
 {
@@ -90,7 +87,8 @@
 int printCodes(const Words&)
 {
     for (const auto& info : resultCodeTable())
-        std::cout << static_cast<unsigned>(info.code) << "\t" << nameOf(info.execution) << "\t" << info.name << "\t" << info.text << "\n";
+        std::cout << static_cast<unsigned>(info.code) << "\t" << nameOf(info.execution) << "\t" << info.name << "\t"
+                  << info.text << "\n";
     return 0;
 }
 
@@ -137,10 +135,17 @@
         { "codes", printCodes },
         { "help", printHelp },
         { "check-config",
-            [](const Words& words) { return exitStatus(runCheckConfigCommand(withoutFirst(words), std::cout, std::cerr)); } },
-        { "replay", [](const Words& words) { return exitStatus(runReplayCommand(withoutFirst(words), std::cout, std::cerr)); } },
+            [](const Words& words) {
+                return exitStatus(runCheckConfigCommand(withoutFirst(words), std::cout, std::cerr));
+            } },
+        { "replay",
+            [](const Words& words) {
+                return exitStatus(runReplayCommand(withoutFirst(words), std::cout, std::cerr));
+            } },
         { "generate-trace",
-            [](const Words& words) { return exitStatus(runGenerateCommand(withoutFirst(words), std::cout, std::cerr)); } },
+            [](const Words& words) {
+                return exitStatus(runGenerateCommand(withoutFirst(words), std::cout, std::cerr));
+            } },
     };
     return table;
 }
--- a/shallotdrift/src/Entry/Core.cpp
+++ b/shallotdrift/src/Entry/Core.cpp
@@ -15,7 +15,8 @@
 static constexpr Milliseconds gaugeInterval { 1000 };
 static constexpr double demandWorthSending = 0.01;
 
-Core::Core(const EntrySettings& settings, uint64_t boot, CoreOutputs outputs, Metrics& metrics, SendPermissions& permissions)
+Core::Core(
+    const EntrySettings& settings, uint64_t boot, CoreOutputs outputs, Metrics& metrics, SendPermissions& permissions)
     : context_ { settings, boot, std::move(outputs), metrics, permissions, {} }
     , proposals_(context_)
     , peers_(context_)
@@ -26,7 +27,8 @@
     , operations_(context_, proposals_, peers_, gate_)
     , tasks_(context_, proposals_, peers_)
     , keeper_(
-          context_, proposals_, peers_, [this](const FoldedRecord& record) { folded(record); }, [this] { stateReplaced(); })
+          context_, proposals_, peers_, [this](const FoldedRecord& record) { folded(record); },
+          [this] { stateReplaced(); })
     , ring_(ringCapacity)
 {
 }
@@ -68,15 +70,9 @@
     }
 }
 
-void Core::handle(CallerCancelled&& cancelled, Instant now)
-{
-    requests_.callerLeft(cancelled.id, now);
-}
+void Core::handle(CallerCancelled&& cancelled, Instant now) { requests_.callerLeft(cancelled.id, now); }
 
-void Core::handle(AttemptResult&& result, Instant now)
-{
-    requests_.attemptDone(std::move(result), now);
-}
+void Core::handle(AttemptResult&& result, Instant now) { requests_.attemptDone(std::move(result), now); }
 
 void Core::handle(LogPageArrived&& arrived, Instant now)
 {
@@ -134,33 +130,29 @@
 
 void Core::handle(PlatformCallResult&& result, Instant now)
 {
-    bool forTask = result.call.type == PlatformCall::Type::StartTask || result.call.type == PlatformCall::Type::CommandTask;
+    bool forTask
+        = result.call.type == PlatformCall::Type::StartTask || result.call.type == PlatformCall::Type::CommandTask;
     if (forTask)
         tasks_.callDone(result, now);
     else
         operations_.callDone(result, now);
 }
 
-void Core::handle(RunOnCore&& run, Instant)
-{
-    run.function();
-}
+void Core::handle(RunOnCore&& run, Instant) { run.function(); }
 
 void Core::folded(const FoldedRecord& record)
 {
     if (record.verdict.code != ResultCode::Ok && record.verdict.code != ResultCode::DuplicateRecord) {
-        logger("fold")->debug("record {} of {} refused: {} {}", record.record.id().sequence(), record.record.id().writer(),
-            static_cast<unsigned>(record.verdict.code), record.verdict.figures);
+        logger("fold")->debug("record {} of {} refused: {} {}", record.record.id().sequence(),
+            record.record.id().writer(), static_cast<unsigned>(record.verdict.code), record.verdict.figures);
     }
-    context_.metrics.count("records_folded_total", "code=\"" + std::to_string(static_cast<unsigned>(record.verdict.code)) + "\"");
+    context_.metrics.count(
+        "records_folded_total", "code=\"" + std::to_string(static_cast<unsigned>(record.verdict.code)) + "\"");
     if (record.verdict.code != ResultCode::DuplicateRecord)
         proposals_.folded(record);
 }
 
-void Core::stateReplaced()
-{
-    requests_.keyed().stateReplaced();
-}
+void Core::stateReplaced() { requests_.keyed().stateReplaced(); }
 
 void Core::stateChanged(Instant now)
 {
@@ -173,11 +165,13 @@
         // Only a member's own zone needs no lease: a move of the zone's instances waits for members alone.
         leases_ = std::make_unique<ViewLeaseHolder>(
             ViewLeaseHolderOptions { context_.settings.id, member ? context_.settings.zone : std::string() });
-        logger("core")->info(member ? "joined the gate of zone {}" : "left the gate of zone {}", context_.settings.zone);
+        logger("core")->info(
+            member ? "joined the gate of zone {}" : "left the gate of zone {}", context_.settings.zone);
     }
     if (state.configurationVersion != configurationVersion_) {
         configurationVersion_ = state.configurationVersion;
-        logger("core")->info("configuration version {} is in force at offset {}", configurationVersion_, context_.fold.offset());
+        logger("core")->info(
+            "configuration version {} is in force at offset {}", configurationVersion_, context_.fold.offset());
         requests_.configurationChanged(now);
     }
     auto addresses = context_.settings.peers;
@@ -190,7 +184,8 @@
 
 void Core::join(Instant now)
 {
-    if (context_.member || context_.stopping || !keeper_.complete() || now < nextJoin_ || !context_.outputs.platformReachable())
+    if (context_.member || context_.stopping || !keeper_.complete() || now < nextJoin_
+        || !context_.outputs.platformReachable())
         return;
     nextJoin_ = now + joinInterval;
     proto::Record record;
@@ -231,7 +226,8 @@
         updateGauges();
     }
     bool outage = !context_.outputs.platformReachable();
-    ready_ = keeper_.complete() && context_.state().configurationVersion && (context_.member || outage) && !context_.stopping;
+    ready_ = keeper_.complete() && context_.state().configurationVersion && (context_.member || outage)
+        && !context_.stopping;
 }
 
 void Core::refreshInstances(Instant now)
@@ -313,9 +309,6 @@
     proposals_.propose(std::move(record), "planned stop");
 }
 
-bool Core::idle() const
-{
-    return requests_.openRequests() == 0 && requests_.inFlightInstances().empty();
-}
+bool Core::idle() const { return requests_.openRequests() == 0 && requests_.inFlightInstances().empty(); }
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Entry/CoreContext.h
+++ b/shallotdrift/src/Entry/CoreContext.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "../Callers/CallerServer.h"
 #include "../../Fold.h"
+#include "../Callers/CallerServer.h"
 #include "../Settings/EntrySettings.h"
 #include "../Targets/TargetClient.h"
 #include "ForwardDeclarations.h"
--- a/shallotdrift/src/Entry/EntryProcess.cpp
+++ b/shallotdrift/src/Entry/EntryProcess.cpp
@@ -46,8 +46,7 @@
     bool postCaller(CallerRequest&& request) { return core_.tryPost(std::move(request)); }
     Offset postPage(LogPage&&);
     void onCore(const std::function<void()>&);
-    template <typename Condition>
-    bool waitFor(Condition, Milliseconds limit);
+    template <typename Condition> bool waitFor(Condition, Milliseconds limit);
     void stopThreads();
 
     EntrySettings settings_;
@@ -208,7 +207,8 @@
     BOOST_LEAF_CHECK(metricsServer_.start());
     BOOST_LEAF_CHECK(operators_.start());
     BOOST_LEAF_CHECK(callers_.start());
-    logger("core")->info("entry {} of zone {} serves callers on {}", settings_.id, settings_.zone, settings_.callerAddress);
+    logger("core")->info(
+        "entry {} of zone {} serves callers on {}", settings_.id, settings_.zone, settings_.callerAddress);
     return {};
 }
 
@@ -224,8 +224,7 @@
         future.wait();
 }
 
-template <typename Condition>
-bool EntryProcess::Implementation::waitFor(Condition condition, Milliseconds limit)
+template <typename Condition> bool EntryProcess::Implementation::waitFor(Condition condition, Milliseconds limit)
 {
     Instant end = BootClock::now() + limit;
     while (!condition()) {
@@ -294,15 +293,9 @@
 
 EntryProcess::~EntryProcess() = default;
 
-Result<void> EntryProcess::start()
-{
-    return implementation_->start();
-}
+Result<void> EntryProcess::start() { return implementation_->start(); }
 
-void EntryProcess::stop()
-{
-    implementation_->stop();
-}
+void EntryProcess::stop() { implementation_->stop(); }
 
 int runEntry(const EntrySettings& settings)
 {
--- a/shallotdrift/src/Entry/FleetObserver.cpp
+++ b/shallotdrift/src/Entry/FleetObserver.cpp
@@ -106,7 +106,8 @@
     record.mutable_instance_lost()->set_expected_epoch(instance.epoch);
     record.mutable_instance_lost()->set_leaving(leaving);
     proposals_.propose(std::move(record),
-        leaving ? "the platform's list shows the instance as leaving" : "the platform's list no longer shows the instance");
+        leaving ? "the platform's list shows the instance as leaving"
+                : "the platform's list no longer shows the instance");
 }
 
 void FleetObserver::observeEntries(const std::map<std::string, ListedInstance>& entries, Instant now)
--- a/shallotdrift/src/Entry/FleetObserver.h
+++ b/shallotdrift/src/Entry/FleetObserver.h
@@ -40,9 +40,9 @@
     PeerDirectory& peers_;
     std::set<std::string> unfit_;
     std::map<std::string, Absence> absences_;
-    std::map<std::string, Instant> dueSince_;     // subject to when it was first due
+    std::map<std::string, Instant> dueSince_; // subject to when it was first due
     std::map<std::string, Instant> lastProposed_; // subject to the last proposal
-    std::map<std::string, Instant> memberSince_;  // "<entry>/<boot>" to when this process first saw it as a member
+    std::map<std::string, Instant> memberSince_; // "<entry>/<boot>" to when this process first saw it as a member
 };
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Entry/KeyedRequests.cpp
+++ b/shallotdrift/src/Entry/KeyedRequests.cpp
@@ -52,10 +52,7 @@
 }
 
 // Kind and body together, so that a key cannot be used again for other work.
-static uint64_t digestOfWork(const CallerRequest& request)
-{
-    return digestOf(request.body, digestOf(request.subject));
-}
+static uint64_t digestOfWork(const CallerRequest& request) { return digestOf(request.body, digestOf(request.subject)); }
 
 void KeyedRequests::admit(const CallerRequest& request, Instant deadline, Instant now)
 {
@@ -83,8 +80,8 @@
     intent->set_kind(request.subject);
     intent->set_owner(context_.settings.id);
     intent->set_owner_boot(context_.boot);
-    bool taken = proposals_.propose(std::move(record), "",
-        [this, key = request.key](const FoldedRecord& folded) { intentFolded(key, folded); });
+    bool taken = proposals_.propose(
+        std::move(record), "", [this, key = request.key](const FoldedRecord& folded) { intentFolded(key, folded); });
     if (!taken)
         return reply_(request.id, refusal(ResultCode::LogUnavailable, "the log's queue is full"));
     waiting_[request.key] = { request.id, deadline, false };
@@ -107,7 +104,8 @@
     auto execution = executionOf(folded.verdict.code);
     bool forCallers = execution == Execution::NotRun || execution == Execution::MayHaveRun;
     reply_(waiting.request,
-        refusal(forCallers ? folded.verdict.code : ResultCode::LogUnavailable, "refused by the log: " + folded.verdict.figures));
+        refusal(forCallers ? folded.verdict.code : ResultCode::LogUnavailable,
+            "refused by the log: " + folded.verdict.figures));
 }
 
 void KeyedRequests::intentAccepted(const std::string& key, const Waiting& waiting)
--- a/shallotdrift/src/Entry/KeyedRequests.h
+++ b/shallotdrift/src/Entry/KeyedRequests.h
@@ -15,7 +15,7 @@
 // Non-idempotent work: an intent in the log comes before the dispatch, so that a key runs at most once.
 class KeyedRequests {
 public:
-    using Submit = std::function<void(uint64_t request)>;             // the key is this entry's: dispatch may follow
+    using Submit = std::function<void(uint64_t request)>; // the key is this entry's: dispatch may follow
     using Reply = std::function<void(uint64_t request, CallerReply)>; // ends the request
 
     KeyedRequests(CoreContext&, Proposals&, PeerDirectory&, Submit, Reply);
@@ -61,7 +61,7 @@
     Reply reply_;
     AnswerCache answers_;
     std::map<std::string, Waiting> waiting_; // by key, intent not yet folded
-    std::set<std::string> running_;          // keys whose work this process has been given
+    std::set<std::string> running_; // keys whose work this process has been given
     std::map<std::string, proto::Record> unrecorded_; // outcomes that the writer's ring had no room for
     std::map<uint64_t, Fetch> fetches_;
     uint64_t fetchNumber_ = 0;
--- a/shallotdrift/src/Entry/ListPoller.cpp
+++ b/shallotdrift/src/Entry/ListPoller.cpp
@@ -14,10 +14,7 @@
 {
 }
 
-ListPoller::~ListPoller()
-{
-    stop();
-}
+ListPoller::~ListPoller() { stop(); }
 
 void ListPoller::stop()
 {
--- a/shallotdrift/src/Entry/Metrics.cpp
+++ b/shallotdrift/src/Entry/Metrics.cpp
@@ -1,11 +1,17 @@
 #include "Metrics.h"
 
-#include <array>
 #include <fmt/format.h>
 
 namespace shallotdrift {
 
-static constexpr std::array<double, 3> quantiles { 0.5, 0.9, 0.99 };
+namespace accumulators = boost::accumulators;
+
+Metrics::Summary::Summary()
+    : quantiles { Quantile(accumulators::quantile_probability = quantileProbabilities[0]),
+        Quantile(accumulators::quantile_probability = quantileProbabilities[1]),
+        Quantile(accumulators::quantile_probability = quantileProbabilities[2]) }
+{
+}
 
 void Metrics::count(const std::string& name, const std::string& labels, uint64_t by)
 {
@@ -22,17 +28,14 @@
 void Metrics::observe(const std::string& name, const std::string& labels, Duration value)
 {
     std::lock_guard lock(mutex_);
-    Key key { name, labels };
-    auto position = summaries_.find(key);
-    if (position == summaries_.end())
-        position = summaries_.emplace(key, Summary(boost::accumulators::extended_p_square_probabilities = quantiles)).first;
-    position->second(std::chrono::duration<double>(value).count());
+    auto& summary = summaries_[{ name, labels }];
+    double seconds = std::chrono::duration<double>(value).count();
+    summary.total(seconds);
+    for (auto& quantile : summary.quantiles)
+        quantile(seconds);
 }
 
-static std::string braced(const std::string& labels)
-{
-    return labels.empty() ? std::string() : "{" + labels + "}";
-}
+static std::string braced(const std::string& labels) { return labels.empty() ? std::string() : "{" + labels + "}"; }
 
 static std::string typeLine(std::string& previous, const std::string& name, const char* type)
 {
@@ -57,15 +60,16 @@
     }
     for (const auto& [key, summary] : summaries_) {
         text += typeLine(previous, key.first, "summary");
-        for (double quantile : quantiles) {
-            auto labels = fmt::format("{}{}quantile=\"{}\"", key.second, key.second.empty() ? "" : ",", quantile);
-            text += fmt::format("shallotdrift_{}{{{}}} {}\n", key.first, labels,
-                boost::accumulators::quantile(summary, boost::accumulators::quantile_probability = quantile));
+        for (size_t i = 0; i < quantileProbabilities.size(); ++i) {
+            auto labels = fmt::format(
+                "{}{}quantile=\"{}\"", key.second, key.second.empty() ? "" : ",", quantileProbabilities[i]);
+            text += fmt::format(
+                "shallotdrift_{}{{{}}} {}\n", key.first, labels, accumulators::p_square_quantile(summary.quantiles[i]));
         }
         text += fmt::format(
-            "shallotdrift_{}_sum{} {}\n", key.first, braced(key.second), boost::accumulators::sum(summary));
+            "shallotdrift_{}_sum{} {}\n", key.first, braced(key.second), accumulators::sum(summary.total));
         text += fmt::format(
-            "shallotdrift_{}_count{} {}\n", key.first, braced(key.second), boost::accumulators::count(summary));
+            "shallotdrift_{}_count{} {}\n", key.first, braced(key.second), accumulators::count(summary.total));
     }
     return text;
 }
--- a/shallotdrift/src/Entry/Metrics.h
+++ b/shallotdrift/src/Entry/Metrics.h
@@ -2,11 +2,10 @@
 
 #include "../Base/Time.h"
 
-#include <sstream> // extended_p_square_quantile.hpp uses it without including it
-
+#include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 #include <map>
@@ -28,9 +27,18 @@
 
 private:
     using Key = std::pair<std::string, std::string>;
-    using Summary = boost::accumulators::accumulator_set<double,
-        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum,
-            boost::accumulators::tag::extended_p_square_quantile>>;
+    using Quantile = boost::accumulators::accumulator_set<double,
+        boost::accumulators::stats<boost::accumulators::tag::p_square_quantile>>;
+    using Total = boost::accumulators::accumulator_set<double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::sum>>;
+    static constexpr std::array<double, 3> quantileProbabilities { 0.5, 0.9, 0.99 };
+
+    // One accumulator for each quantile: the estimator of a single quantile needs five markers only.
+    struct Summary {
+        Summary();
+        Total total;
+        std::array<Quantile, quantileProbabilities.size()> quantiles;
+    };
 
     mutable std::mutex mutex_;
     std::map<Key, uint64_t> counters_;
--- a/shallotdrift/src/Entry/MetricsServer.cpp
+++ b/shallotdrift/src/Entry/MetricsServer.cpp
@@ -60,19 +60,10 @@
 {
 }
 
-MetricsServer::~MetricsServer()
-{
-    stop();
-}
+MetricsServer::~MetricsServer() { stop(); }
 
-Result<void> MetricsServer::start()
-{
-    return implementation_->start();
-}
+Result<void> MetricsServer::start() { return implementation_->start(); }
 
-void MetricsServer::stop()
-{
-    implementation_->stop();
-}
+void MetricsServer::stop() { implementation_->stop(); }
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Entry/OperationDriver.cpp
+++ b/shallotdrift/src/Entry/OperationDriver.cpp
@@ -118,7 +118,8 @@
             if (maintenance.pendingGates.empty())
                 continue;
             auto since = dueSince_.emplace("closing " + operation, now).first->second;
-            if (now - since < context_.state().configuration.moveTimeout || !mayAct("abort " + operation, now, repeatInterval))
+            if (now - since < context_.state().configuration.moveTimeout
+                || !mayAct("abort " + operation, now, repeatInterval))
                 continue;
             proto::Record record;
             record.mutable_maintenance_done()->set_wave_id(waveId);
@@ -134,7 +135,8 @@
     const auto& call = result.call;
     callsUnderWay_.erase(call.operationId);
     if (result.code != ResultCode::Ok) {
-        logger("operations")->warn("call for {} failed: {} {}", call.operationId, static_cast<unsigned>(result.code), result.message);
+        logger("operations")
+            ->warn("call for {} failed: {} {}", call.operationId, static_cast<unsigned>(result.code), result.message);
         context_.metrics.count("platform_call_failures_total");
         return;
     }
--- a/shallotdrift/src/Entry/OperationDriver.h
+++ b/shallotdrift/src/Entry/OperationDriver.h
@@ -12,8 +12,8 @@
 
 namespace shallotdrift {
 
-// Carries moves and maintenance waves forward: gate acknowledgements, platform calls, grants, aborts, and the proposals of
-// the planners. Every entry runs one; ranks spread the work and the fold judges what two of them propose.
+// Carries moves and maintenance waves forward: gate acknowledgements, platform calls, grants, aborts, and the proposals
+// of the planners. Every entry runs one; ranks spread the work and the fold judges what two of them propose.
 class OperationDriver {
 public:
     OperationDriver(CoreContext&, Proposals&, PeerDirectory&, Gate&);
--- a/shallotdrift/src/Entry/OperatorAccess.cpp
+++ b/shallotdrift/src/Entry/OperatorAccess.cpp
@@ -27,13 +27,13 @@
 
 namespace {
 
-// Verdicts of one submission; outlives the call when the log answers late.
-struct Submission {
-    std::mutex mutex;
-    std::condition_variable changed;
-    std::vector<FoldedRecord> verdicts;
-    size_t missing = 0;
-};
+    // Verdicts of one submission; outlives the call when the log answers late.
+    struct Submission {
+        std::mutex mutex;
+        std::condition_variable changed;
+        std::vector<FoldedRecord> verdicts;
+        size_t missing = 0;
+    };
 
 } // namespace
 
--- a/shallotdrift/src/Entry/PlatformCalls.cpp
+++ b/shallotdrift/src/Entry/PlatformCalls.cpp
@@ -14,15 +14,9 @@
         threads_.emplace_back([this] { run(); });
 }
 
-PlatformCalls::~PlatformCalls()
-{
-    stop();
-}
+PlatformCalls::~PlatformCalls() { stop(); }
 
-bool PlatformCalls::submit(PlatformCall call)
-{
-    return calls_.tryPush(std::move(call));
-}
+bool PlatformCalls::submit(PlatformCall call) { return calls_.tryPush(std::move(call)); }
 
 void PlatformCalls::stop()
 {
--- a/shallotdrift/src/Entry/RequestService.cpp
+++ b/shallotdrift/src/Entry/RequestService.cpp
@@ -220,7 +220,8 @@
             fmt::format("kind=\"{}\",code=\"{}\"", context_.state().configuration.kinds.count(kind) ? kind : "unknown",
                 static_cast<unsigned>(reply.code)));
         if (reply.code == ResultCode::Ok)
-            context_.metrics.observe("request_seconds", "kind=\"" + kind + "\"", BootClock::now() - open.request.arrived);
+            context_.metrics.observe(
+                "request_seconds", "kind=\"" + kind + "\"", BootClock::now() - open.request.arrived);
     }
     if (reply.code != ResultCode::Ok && open.request.type == CallerRequest::Type::Work) {
         recentRefusals_.push_back(fmt::format("request {} of kind {}: {} {}: {}", open.request.requestId, kind,
--- a/shallotdrift/src/Entry/StateKeeper.cpp
+++ b/shallotdrift/src/Entry/StateKeeper.cpp
@@ -18,8 +18,8 @@
 // An entry has 32 MB in all; a snapshot at the size in two years is below 3 MB.
 static constexpr SnapshotAssemblerOptions assemblerOptions { 6 << 20, 2 };
 
-StateKeeper::StateKeeper(
-    CoreContext& context, Proposals& proposals, PeerDirectory& peers, FoldedHandler onFolded, ReplacedHandler onReplaced)
+StateKeeper::StateKeeper(CoreContext& context, Proposals& proposals, PeerDirectory& peers, FoldedHandler onFolded,
+    ReplacedHandler onReplaced)
     : context_(context)
     , proposals_(proposals)
     , peers_(peers)
--- a/shallotdrift/src/Entry/StateKeeper.h
+++ b/shallotdrift/src/Entry/StateKeeper.h
@@ -42,7 +42,7 @@
     PeerDirectory& peers_;
     FoldedHandler onFolded_;
     ReplacedHandler onReplaced_;
-    SnapshotAssembler logSnapshots_;  // chunks seen in the log
+    SnapshotAssembler logSnapshots_; // chunks seen in the log
     SnapshotAssembler peerSnapshots_; // parts sent by peers
     bool complete_ = false;
     bool scanning_ = false; // looking for a snapshot behind a gap
--- a/shallotdrift/src/Entry/TaskDriver.cpp
+++ b/shallotdrift/src/Entry/TaskDriver.cpp
@@ -71,7 +71,8 @@
     if (kind == kinds.end() || !kind->second.longRunning)
         return reply(request.id, ResultCode::UnknownKind, "no kind of long task is named " + request.subject);
     if (request.body.size() > maximumInputBytes)
-        return reply(request.id, ResultCode::TooLarge, fmt::format("task input is limited to {} bytes", maximumInputBytes));
+        return reply(
+            request.id, ResultCode::TooLarge, fmt::format("task input is limited to {} bytes", maximumInputBytes));
     // The caller's key makes a repeated submission find the first one.
     auto id = request.key.empty() ? fmt::format("t-{}-{:x}-{}", context_.settings.id, context_.boot, ++taskNumber_)
                                   : "t-" + request.key;
@@ -135,8 +136,10 @@
     record.mutable_task_ended()->set_task_id(task.id);
     record.mutable_task_ended()->set_expected_token(task.token);
     record.mutable_task_ended()->set_end(proto::TaskEnded::CANCELLED);
-    bool taken = proposals_.propose(std::move(record), "cancelled by the caller",
-        [this, id = request.id](const FoldedRecord& folded) { replyToProposal(id, folded.verdict.code, folded.verdict.figures); });
+    bool taken = proposals_.propose(
+        std::move(record), "cancelled by the caller", [this, id = request.id](const FoldedRecord& folded) {
+            replyToProposal(id, folded.verdict.code, folded.verdict.figures);
+        });
     if (!taken)
         return reply(request.id, ResultCode::LogUnavailable, "the log's queue is full");
     awaitingVerdict_[request.id] = deadlineOf(request);
@@ -241,7 +244,8 @@
     if (result.code != ResultCode::PlatformRefused || position == context_.state().tasks.end())
         return;
     if (position->second.status == TaskStatus::Placed && position->second.token == result.call.task.token)
-        end(position->second, proto::TaskEnded::FAILED_ATTEMPT, "", "the platform refused the start: " + result.message, now);
+        end(position->second, proto::TaskEnded::FAILED_ATTEMPT, "", "the platform refused the start: " + result.message,
+            now);
 }
 
 void TaskDriver::tick(const std::map<std::string, uint32_t>& urgentSlots, Instant now)
@@ -326,7 +330,8 @@
         auto task = context_.state().tasks.find(preemption.task);
         if (task == context_.state().tasks.end() || !mayAct("preempt " + preemption.task, now))
             continue;
-        logger("tasks")->info("task {} {}: {}", preemption.task, preemption.stop ? "checkpointed" : "throttled", preemption.reason);
+        logger("tasks")->info(
+            "task {} {}: {}", preemption.task, preemption.stop ? "checkpointed" : "throttled", preemption.reason);
         command(task->second, preemption.stop ? TaskCommand::Checkpoint : TaskCommand::Throttle, now);
     }
 }
