--- /dev/null
+++ b/shallotdrift/src/Operators/CommandWords.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "../Base/Error.h"
+#include "../Settings/ValueForm.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace shallotdrift::internal {
+
+// A word of a command: given by its place, or as --name=value.
+struct CommandOption {
+    std::string_view name;
+    ValueForm form;
+    bool required = false;
+    std::string_view meaning;
+};
+
+// What may follow the name of a command.
+struct CommandSyntax {
+    std::string_view name; // "handbook invoke"
+    std::vector<CommandOption> places; // in order; the ones that are not required come last
+    std::vector<CommandOption> options;
+    std::string_view meaning;
+};
+
+// Checked words of a command.
+class CommandWords {
+public:
+    // The words after the command's name. The error's message lists every mistake on a line of its own.
+    static Result<CommandWords> parse(const CommandSyntax&, const std::vector<std::string>& words);
+
+    bool has(std::string_view name) const { return values_.count(name) > 0; }
+    // Empty when the word is not given.
+    std::string text(std::string_view name) const;
+    // 0 when the word is not given.
+    uint64_t number(std::string_view name) const;
+    bool yes(std::string_view name) const { return text(name) == "yes"; }
+
+private:
+    std::map<std::string, std::string, std::less<>> values_;
+};
+
+// "handbook invoke NAME [VERSION]"
+std::string usageOf(const CommandSyntax&);
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Operators/OperatorClient.cpp
@@ -0,0 +1,104 @@
+#include "OperatorClient.h"
+
+#include "TextTable.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <iterator>
+#include <set>
+
+namespace shallotdrift::internal {
+
+// The audit trail of 2,000 events is the largest answer.
+static constexpr int maximumAnswerBytes = 16 << 20;
+
+static Result<std::string> readPem(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::string text { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    if (!file.is_open() || text.empty())
+        return fail(ResultCode::InvalidCommand, fmt::format("the file {} cannot be read or is empty", path));
+    return text;
+}
+
+OperatorClient::OperatorClient(const OperatorCommandOptions& options, std::ostream& errors)
+    : options_(options)
+    , errors_(errors)
+{
+}
+
+ResultCode OperatorClient::codeOf(const proto::ChangeReply& reply)
+{
+    return resultCodeFromNumber(reply.result_code()).value_or(ResultCode::Internal);
+}
+
+Result<std::shared_ptr<grpc::ChannelCredentials>> OperatorClient::credentials() const
+{
+    bool any = !options_.certificateFile.empty() || !options_.keyFile.empty() || !options_.authorityFile.empty();
+    if (!any)
+        return grpc::InsecureChannelCredentials();
+    if (options_.certificateFile.empty() || options_.keyFile.empty() || options_.authorityFile.empty())
+        return fail(ResultCode::InvalidCommand, "certificate, key and authority files are given all three or none");
+    grpc::SslCredentialsOptions ssl;
+    BOOST_LEAF_ASSIGN(ssl.pem_root_certs, readPem(options_.authorityFile));
+    BOOST_LEAF_ASSIGN(ssl.pem_private_key, readPem(options_.keyFile));
+    BOOST_LEAF_ASSIGN(ssl.pem_cert_chain, readPem(options_.certificateFile));
+    return grpc::SslCredentials(ssl);
+}
+
+// Another entry instance may still take the change.
+static bool asksForAnotherEntry(ResultCode code)
+{
+    static const std::set<ResultCode> codes { ResultCode::Stopping, ResultCode::LogUnavailable, ResultCode::NotReady };
+    return codes.count(code) > 0;
+}
+
+static ResultCode codeOfFailure(const grpc::Status& status)
+{
+    switch (status.error_code()) {
+    case grpc::StatusCode::RESOURCE_EXHAUSTED:
+        return ResultCode::TooLarge;
+    case grpc::StatusCode::UNAUTHENTICATED:
+    case grpc::StatusCode::PERMISSION_DENIED:
+        return ResultCode::NotAuthorized;
+    default:
+        return ResultCode::EntryUnreachable;
+    }
+}
+
+Result<void> OperatorClient::callFirst(const Call& call)
+{
+    if (options_.entryAddresses.empty())
+        return fail(ResultCode::InvalidCommand, "no entry instance is given");
+    BOOST_LEAF_AUTO(channelCredentials, credentials());
+    grpc::ChannelArguments arguments;
+    arguments.SetMaxReceiveMessageSize(maximumAnswerBytes);
+    // A proxy from the environment would see the operators' calls.
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    bool answered = false;
+    for (const auto& address : options_.entryAddresses) {
+        auto stub = proto::Operator::NewStub(grpc::CreateCustomChannel(address, channelCredentials, arguments));
+        grpc::ClientContext context;
+        context.set_deadline(std::chrono::system_clock::now() + options_.timeout);
+        auto attempt = call(*stub, context);
+        if (attempt.status.ok() && !asksForAnotherEntry(attempt.code))
+            return {};
+        answered = answered || attempt.status.ok();
+        if (attempt.status.ok()) {
+            errors_ << fmt::format(
+                "entry {} answers {}: {}\n", address, static_cast<unsigned>(attempt.code), infoOf(attempt.code).text);
+            continue;
+        }
+        auto code = codeOfFailure(attempt.status);
+        auto message
+            = fmt::format("entry {} does not answer: {}", address, printableText(attempt.status.error_message()));
+        if (code != ResultCode::EntryUnreachable)
+            return fail(code, message);
+        errors_ << message << "\n";
+    }
+    if (answered)
+        return {};
+    return fail(ResultCode::EntryUnreachable, "no entry instance answers");
+}
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Operators/OperatorClient.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "OperatorCommands.h"
+
+#include "../Base/Error.h"
+
+#include <chrono>
+#include <functional>
+#include <grpcpp/grpcpp.h>
+#include <operator.grpc.pb.h>
+#include <ostream>
+
+namespace shallotdrift::internal {
+
+// Calls the entry instances in order until one answers. A change keeps its change id, so that an entry that did act but
+// whose answer was lost does not make it act twice.
+class OperatorClient {
+public:
+    OperatorClient(const OperatorCommandOptions&, std::ostream& errors);
+
+    template <typename Request, typename Reply>
+    using Method = grpc::Status (proto::Operator::Stub::*)(grpc::ClientContext*, const Request&, Reply*);
+
+    template <typename Request, typename Reply>
+    Result<Reply> call(Method<Request, Reply> method, const Request& request)
+    {
+        Reply reply;
+        BOOST_LEAF_CHECK(callFirst([&](proto::Operator::Stub& stub, grpc::ClientContext& context) {
+            Reply answer;
+            auto status = (stub.*method)(&context, request, &answer);
+            if (status.ok())
+                reply = std::move(answer);
+            return Attempt { status, codeOf(reply) };
+        }));
+        return reply;
+    }
+
+private:
+    struct Attempt {
+        grpc::Status status;
+        ResultCode code; // of the reply; Ok for replies without a code
+    };
+    using Call = std::function<Attempt(proto::Operator::Stub&, grpc::ClientContext&)>;
+
+    static ResultCode codeOf(const proto::ChangeReply&);
+    template <typename Reply> static ResultCode codeOf(const Reply&) { return ResultCode::Ok; }
+
+    Result<void> callFirst(const Call&);
+    Result<std::shared_ptr<grpc::ChannelCredentials>> credentials() const;
+
+    const OperatorCommandOptions& options_;
+    std::ostream& errors_;
+};
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Operators/OperatorCommands.cpp
@@ -0,0 +1,389 @@
+#include "OperatorCommands.h"
+
+#include "../Settings/EntrySettings.h"
+#include "CommandWords.h"
+#include "OperatorClient.h"
+#include "ReplyText.h"
+
+#include <algorithm>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <google/protobuf/util/json_util.h>
+#include <ostream>
+#include <random>
+#include <sstream>
+
+namespace shallotdrift {
+
+using internal::CommandOption;
+using internal::CommandSyntax;
+using internal::CommandWords;
+using internal::ValueForm;
+
+// What a command needs to run.
+struct CommandContext {
+    const CommandWords& words;
+    const OperatorCommandOptions& options;
+    std::string changeId;
+    std::ostream& output;
+    std::ostream& errors;
+
+    void fill(proto::Change& change) const
+    {
+        change.set_change_id(changeId);
+        change.set_operator_name(options.operatorName);
+        change.set_reason(options.reason);
+    }
+};
+
+// Time and chance make the id unique; the time also lets a person find it again.
+static std::string newChangeId()
+{
+    static constexpr unsigned randomRange = 1U << 20;
+    std::random_device random;
+    return fmt::format("c-{:%Y%m%dT%H%M%S}-{:05x}",
+        fmt::gmtime(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())), random() % randomRange);
+}
+
+static unsigned codeOf(const proto::StatusReply&) { return 0; }
+static unsigned codeOf(const proto::AuditReply&) { return 0; }
+static unsigned codeOf(const proto::ListHandbookReply&) { return 0; }
+static unsigned codeOf(const proto::ConfigurationReply&) { return 0; }
+template <typename Reply> static unsigned codeOf(const Reply& reply) { return reply.result_code(); }
+
+// Calls an entry instance, prints its reply and returns the result code.
+template <typename Request, typename Reply>
+static Result<unsigned> callAndPrint(
+    const CommandContext& context, internal::OperatorClient::Method<Request, Reply> method, const Request& request)
+{
+    internal::OperatorClient client(context.options, context.errors);
+    BOOST_LEAF_AUTO(reply, client.call(method, request));
+    if (context.options.json) {
+        google::protobuf::util::JsonPrintOptions options;
+        options.add_whitespace = true;
+        options.always_print_primitive_fields = true;
+        options.preserve_proto_field_names = true;
+        std::string text;
+        if (!google::protobuf::util::MessageToJsonString(reply, &text, options).ok())
+            return fail(ResultCode::Internal, "the reply cannot be written as JSON");
+        context.output << text << "\n";
+    } else {
+        internal::printReply(reply, context.output);
+    }
+    return codeOf(reply);
+}
+
+// As above, for a request that carries a change.
+template <typename Request>
+static Result<unsigned> change(const CommandContext& context,
+    internal::OperatorClient::Method<Request, proto::ChangeReply> method, Request request)
+{
+    context.fill(*request.mutable_change());
+    if (!context.options.json)
+        context.output << "change id " << context.changeId << "\n" << std::flush;
+    return callAndPrint(context, method, request);
+}
+
+using Stub = proto::Operator::Stub;
+
+static Result<unsigned> runStatus(const CommandContext& context)
+{
+    return callAndPrint(context, &Stub::Status, proto::StatusRequest());
+}
+
+static Result<unsigned> runExplain(const CommandContext& context)
+{
+    proto::ExplainRequest request;
+    request.set_subject(context.words.text("type") + " " + context.words.text("name"));
+    return callAndPrint(context, &Stub::Explain, request);
+}
+
+static Result<unsigned> runAudit(const CommandContext& context)
+{
+    proto::AuditRequest request;
+    request.set_limit(static_cast<uint32_t>(context.words.number("limit")));
+    request.set_subject(context.words.text("subject"));
+    return callAndPrint(context, &Stub::Audit, request);
+}
+
+static Result<unsigned> runHandbookList(const CommandContext& context)
+{
+    return callAndPrint(context, &Stub::ListHandbook, proto::ListHandbookRequest());
+}
+
+static Result<unsigned> runHandbookShow(const CommandContext& context)
+{
+    proto::ShowHandbookRequest request;
+    request.set_name(context.words.text("name"));
+    return callAndPrint(context, &Stub::ShowHandbook, request);
+}
+
+static Result<unsigned> runHandbookPropose(const CommandContext& context)
+{
+    proto::ProposeHandbookRequest request;
+    request.set_name(context.words.text("name"));
+    request.set_expected_version(context.words.number("expected"));
+    BOOST_LEAF_ASSIGN(*request.mutable_ini(), readSettingsFile(context.words.text("file")));
+    return change(context, &Stub::ProposeHandbook, request);
+}
+
+static Result<unsigned> runHandbookReview(const CommandContext& context)
+{
+    proto::ReviewHandbookRequest request;
+    request.set_name(context.words.text("name"));
+    request.set_version(context.words.number("version"));
+    request.set_approved(context.words.text("decision") == "approve");
+    return change(context, &Stub::ReviewHandbook, request);
+}
+
+static Result<unsigned> runHandbookRehearse(const CommandContext& context)
+{
+    proto::RehearseRequest request;
+    request.set_name(context.words.text("name"));
+    request.set_version(context.words.number("version"));
+    return callAndPrint(context, &Stub::Rehearse, request);
+}
+
+static Result<unsigned> runHandbookInvoke(const CommandContext& context)
+{
+    proto::InvokeRequest request;
+    request.set_name(context.words.text("name"));
+    request.set_version(context.words.number("version"));
+    return change(context, &Stub::Invoke, request);
+}
+
+static Result<unsigned> runLend(const CommandContext& context)
+{
+    proto::LendRequest request;
+    request.set_from_pool(context.words.text("from"));
+    request.set_to_pool(context.words.text("to"));
+    request.set_count(static_cast<uint32_t>(context.words.number("count")));
+    return change(context, &Stub::Lend, request);
+}
+
+static Result<unsigned> runReturn(const CommandContext& context)
+{
+    proto::ReturnLentRequest request;
+    request.set_pool(context.words.text("pool"));
+    return change(context, &Stub::ReturnLent, request);
+}
+
+static Result<unsigned> runDrain(const CommandContext& context)
+{
+    proto::DrainRequest request;
+    request.set_zone(context.words.text("zone"));
+    std::istringstream instances(context.words.text("instances"));
+    for (std::string instance; std::getline(instances, instance, ',');)
+        request.add_instances(instance);
+    return change(context, &Stub::Drain, request);
+}
+
+static Result<unsigned> runWaveStart(const CommandContext& context)
+{
+    const auto& words = context.words;
+    bool selects = words.has("zone") || words.has("pool");
+    if (selects == words.yes("all"))
+        return fail(
+            ResultCode::InvalidCommand, "wave start: give --zone, --pool or both, or --all=yes for the whole fleet");
+    proto::StartWaveRequest request;
+    request.set_zone(words.text("zone"));
+    request.set_pool(words.text("pool"));
+    request.set_max_parallel(static_cast<uint32_t>(words.number("max-parallel")));
+    return change(context, &Stub::StartWave, request);
+}
+
+static Result<unsigned> changeWave(const CommandContext& context, const char* action)
+{
+    proto::ChangeWaveRequest request;
+    request.set_wave_id(context.words.text("wave"));
+    request.set_action(action);
+    return change(context, &Stub::ChangeWave, request);
+}
+
+static Result<unsigned> runMoveAbort(const CommandContext& context)
+{
+    proto::AbortMoveRequest request;
+    request.set_move_id(context.words.text("move"));
+    return change(context, &Stub::AbortMove, request);
+}
+
+static Result<unsigned> runEntryRemove(const CommandContext& context)
+{
+    proto::RemoveEntryRequest request;
+    request.set_entry(context.words.text("entry"));
+    request.set_confirm_stopped(context.words.yes("confirm-stopped"));
+    return change(context, &Stub::RemoveEntry, request);
+}
+
+static Result<unsigned> runConfigPropose(const CommandContext& context)
+{
+    proto::ProposeConfigurationRequest request;
+    request.set_expected_version(context.words.number("expected"));
+    request.set_reviewer(context.words.text("reviewer"));
+    BOOST_LEAF_ASSIGN(*request.mutable_ini(), readSettingsFile(context.words.text("file")));
+    return change(context, &Stub::ProposeConfiguration, request);
+}
+
+static Result<unsigned> runConfigShow(const CommandContext& context)
+{
+    return callAndPrint(context, &Stub::ShowConfiguration, proto::ShowConfigurationRequest());
+}
+
+struct Command {
+    CommandSyntax syntax;
+    Result<unsigned> (*run)(const CommandContext&);
+};
+
+static const std::vector<Command>& commands()
+{
+    using F = ValueForm;
+    static constexpr double maximumVersion = 1e15;
+    static const CommandOption name { "name", F::name(), true, "handbook entry" };
+    static const CommandOption optionalVersion { "version", F::whole(1, maximumVersion), false,
+        "version of the entry; the approved one when not given" };
+    static const CommandOption wave { "wave", F::name(), true, "id of the wave or drain" };
+    static const std::vector<Command> table {
+        { { "status", {}, {}, "pools, budgets, entry instances, moves and waves" }, runStatus },
+        { { "explain",
+              { { "type",
+                    F::choice({ "instance", "pool", "move", "wave", "change", "handbook", "key", "task", "entry" }),
+                    true, "type of the subject" },
+                  { "name", F::text(), true, "name or id of the subject" } },
+              {}, "facts and events of a subject" },
+            runExplain },
+        { { "audit", {},
+              { { "limit", F::whole(1, 2000, "events"), false, "newest events to show; 50 when not given" },
+                  { "subject", F::text(), false, "for example 'instance w-03'" } },
+              "the latest changes and refusals" },
+            runAudit },
+        { { "handbook list", {}, {}, "all handbook entries" }, runHandbookList },
+        { { "handbook show", { name }, {}, "text of an entry" }, runHandbookShow },
+        { { "handbook propose", { name },
+              { { "file", F::path(), true, "text of the entry" },
+                  { "expected", F::whole(0, maximumVersion), false, "newest version so far; 0 for a new entry" } },
+              "propose a version of an entry for review" },
+            runHandbookPropose },
+        { { "handbook review",
+              { name, { "version", F::whole(1, maximumVersion), true, "version that was read" },
+                  { "decision", F::choice({ "approve", "reject" }), true, "approve or reject" } },
+              {}, "approve or reject a version; author and reviewer differ" },
+            runHandbookReview },
+        { { "handbook rehearse", { name, optionalVersion }, {}, "what invoke would do now, without doing it" },
+            runHandbookRehearse },
+        { { "handbook invoke", { name, optionalVersion }, {}, "run the approved version" }, runHandbookInvoke },
+        { { "lend", {},
+              { { "to", F::name(), true, "pool that borrows" },
+                  { "count", F::whole(1, 1000, "instances"), true, "instances to lend" },
+                  { "from", F::name(), false, "pool that lends; any pool when not given, the spare pool first" } },
+              "lend instances to a pool" },
+            runLend },
+        { { "return", {}, { { "pool", F::name(), false, "pool that borrowed; all pools when not given" } },
+              "return lent instances to their home pools" },
+            runReturn },
+        { { "drain", {},
+              { { "zone", F::name(), false, "zone to drain" },
+                  { "instances", F::text(), false, "instances to drain, separated by commas" } },
+              "take a zone or instances out of service until the drain is aborted" },
+            runDrain },
+        { { "wave start", {},
+              { { "zone", F::name(), false, "zone of the wave" }, { "pool", F::name(), false, "pool of the wave" },
+                  { "all", F::yesNo(), false, "the whole fleet" },
+                  { "max-parallel", F::whole(0, 1000, "instances"), false, "instances under way at once" } },
+              "start a maintenance wave" },
+            runWaveStart },
+        { { "wave pause", { wave }, {}, "take no further instances" },
+            [](const CommandContext& context) { return changeWave(context, "pause"); } },
+        { { "wave resume", { wave }, {}, "go on with a paused wave" },
+            [](const CommandContext& context) { return changeWave(context, "resume"); } },
+        { { "wave abort", { wave }, {}, "end a wave or drain; drained instances return to service" },
+            [](const CommandContext& context) { return changeWave(context, "abort"); } },
+        { { "move abort", { { "move", F::name(), true, "id of the move" } }, {},
+              "end a move; the instance stays in its pool" },
+            runMoveAbort },
+        { { "entry remove", { { "entry", F::name(), true, "entry instance" } },
+              { { "confirm-stopped", F::yesNo(), true, "yes: its process is known to be stopped" } },
+              "remove a stopped entry instance from its zone's gate" },
+            runEntryRemove },
+        { { "config show", {}, {}, "the configuration in force" }, runConfigShow },
+        { { "config propose", {},
+              { { "file", F::path(), true, "whole configuration" },
+                  { "expected", F::whole(0, maximumVersion), true, "version that config show printed" },
+                  { "reviewer", F::name(), true, "operator who reviewed the file, other than the author" } },
+              "put a configuration into force" },
+            runConfigPropose },
+    };
+    return table;
+}
+
+// Words of the command's name, for example 2 for "handbook list".
+static size_t wordCount(std::string_view name)
+{
+    return 1 + static_cast<size_t>(std::count(name.begin(), name.end(), ' '));
+}
+
+static const Command* findCommand(const std::vector<std::string>& words)
+{
+    for (const auto& command : commands()) {
+        std::string name;
+        for (size_t i = 0; i < std::min(words.size(), wordCount(command.syntax.name)); ++i)
+            name += (i ? " " : "") + words[i];
+        if (name == command.syntax.name)
+            return &command;
+    }
+    return nullptr;
+}
+
+bool isOperatorCommand(const std::string& name)
+{
+    return std::any_of(commands().begin(), commands().end(),
+        [&](const Command& command) { return command.syntax.name.substr(0, command.syntax.name.find(' ')) == name; });
+}
+
+std::string operatorCommandHelp()
+{
+    std::string help;
+    for (const auto& command : commands())
+        help += fmt::format("  {}\n      {}\n", internal::usageOf(command.syntax), command.syntax.meaning);
+    return help;
+}
+
+static Result<unsigned> runCommand(const std::vector<std::string>& words, const OperatorCommandOptions& options,
+    const std::string& changeId, std::ostream& output, std::ostream& errors)
+{
+    const auto* command = findCommand(words);
+    if (!command)
+        return fail(ResultCode::InvalidCommand, "unknown command; known commands are\n" + operatorCommandHelp());
+    auto nameWords = static_cast<std::ptrdiff_t>(wordCount(command->syntax.name));
+    BOOST_LEAF_AUTO(parsed, CommandWords::parse(command->syntax, { words.begin() + nameWords, words.end() }));
+    return command->run({ parsed, options, changeId, output, errors });
+}
+
+unsigned runOperatorCommand(const std::vector<std::string>& words, const OperatorCommandOptions& options,
+    std::ostream& output, std::ostream& errors)
+{
+    auto changeId = options.changeId.empty() ? newChangeId() : options.changeId;
+    auto code = handleError([&] { return runCommand(words, options, changeId, output, errors); },
+        [&](const Error& error) {
+            errors << error.message << "\n";
+            return static_cast<unsigned>(error.code);
+        });
+    internal::printResult(code, options.json || code ? errors : output);
+    return code;
+}
+
+int exitStatusOf(unsigned resultCode)
+{
+    static constexpr int accepted = 0;
+    static constexpr int refused = 1;
+    static constexpr int commandMistake = 2;
+    static constexpr int notReachable = 3;
+    static constexpr unsigned firstPlatformCode = 600;
+    if (resultCode == static_cast<unsigned>(ResultCode::Ok))
+        return accepted;
+    if (resultCode == static_cast<unsigned>(ResultCode::InvalidCommand))
+        return commandMistake;
+    bool logSilent = resultCode == static_cast<unsigned>(ResultCode::LogUnavailable);
+    return logSilent || resultCode >= firstPlatformCode ? notReachable : refused;
+}
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Operators/OperatorHandler.h
+++ b/shallotdrift/src/Operators/OperatorHandler.h
@@ -30,7 +30,11 @@
 // Implements the calls of proto/operator.proto on an EntryAccess.
 class OperatorHandler {
 public:
-    explicit OperatorHandler(EntryAccess&);
+    // Time that the log has for taking and folding a change: shorter than the commands' own timeout of 10 s, so that
+    // the answer still reaches the operator.
+    static constexpr Milliseconds defaultSubmitTimeout { 5000 };
+
+    explicit OperatorHandler(EntryAccess&, Milliseconds submitTimeout = defaultSubmitTimeout);
 
     proto::StatusReply status(const proto::StatusRequest&);
     proto::ExplainReply explain(const proto::ExplainRequest&);
@@ -53,6 +57,7 @@
 
 private:
     EntryAccess& entry_;
+    Milliseconds submitTimeout_;
 };
 
 } // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Operators/OperatorServer.cpp
@@ -0,0 +1,193 @@
+#include "OperatorServer.h"
+
+#include "../Base/Logging.h"
+#include "../Settings/ValueForm.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <grpcpp/grpcpp.h>
+#include <grpcpp/resource_quota.h>
+#include <iterator>
+#include <operator.grpc.pb.h>
+#include <type_traits>
+
+namespace shallotdrift {
+
+// Operators are few; these bounds keep a faulty client from taking the entry's memory and threads.
+static constexpr int maximumThreads = 12;
+static constexpr size_t maximumQuotaBytes = 64 << 20;
+static constexpr int maximumStreamsPerConnection = 16;
+static constexpr int maximumIdleMilliseconds = 60000;
+static constexpr int handshakeTimeoutMilliseconds = 5000;
+static constexpr std::chrono::seconds stopLimit { 2 };
+
+template <typename Request, typename = void> struct CarriesChange : std::false_type {
+};
+template <typename Request>
+struct CarriesChange<Request, std::void_t<decltype(std::declval<Request>().change())>> : std::true_type {
+};
+
+// Passes the calls to the handler; under TLS the certificate tells who calls.
+class OperatorService final : public proto::Operator::Service {
+public:
+    OperatorService(OperatorHandler& handler, bool authenticated)
+        : handler_(handler)
+        , authenticated_(authenticated)
+    {
+    }
+
+    template <typename Request, typename Reply> using Call = Reply (OperatorHandler::*)(const Request&);
+
+#define SHALLOTDRIFT_OPERATOR_CALL(rpc, call, RequestType, ReplyType)                                                  \
+    grpc::Status rpc(grpc::ServerContext* context, const proto::RequestType* request, proto::ReplyType* reply)         \
+        override                                                                                                       \
+    {                                                                                                                  \
+        return answer(*context, *request, *reply, &OperatorHandler::call);                                             \
+    }
+    SHALLOTDRIFT_OPERATOR_CALL(Status, status, StatusRequest, StatusReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Explain, explain, ExplainRequest, ExplainReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Audit, audit, AuditRequest, AuditReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ListHandbook, listHandbook, ListHandbookRequest, ListHandbookReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ShowHandbook, showHandbook, ShowHandbookRequest, HandbookEntry)
+    SHALLOTDRIFT_OPERATOR_CALL(ProposeHandbook, proposeHandbook, ProposeHandbookRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ReviewHandbook, reviewHandbook, ReviewHandbookRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Rehearse, rehearse, RehearseRequest, RehearseReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Invoke, invoke, InvokeRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Lend, lend, LendRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ReturnLent, returnLent, ReturnLentRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Drain, drain, DrainRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(StartWave, startWave, StartWaveRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ChangeWave, changeWave, ChangeWaveRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(AbortMove, abortMove, AbortMoveRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(RemoveEntry, removeEntry, RemoveEntryRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ProposeConfiguration, proposeConfiguration, ProposeConfigurationRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ShowConfiguration, showConfiguration, ShowConfigurationRequest, ConfigurationReply)
+#undef SHALLOTDRIFT_OPERATOR_CALL
+
+private:
+    template <typename Request, typename Reply>
+    grpc::Status answer(grpc::ServerContext& context, Request request, Reply& reply, Call<Request, Reply> call)
+    {
+        // The operator gave up already; a change that nobody waits for is better not started.
+        if (context.IsCancelled())
+            return { grpc::StatusCode::CANCELLED, "the call was cancelled" };
+        if constexpr (CarriesChange<Request>::value) {
+            if (authenticated_)
+                request.mutable_change()->set_operator_name(commonNameOf(context));
+            logger("operators")
+                ->info("{} by {}: change {}", Request::descriptor()->name(),
+                    internal::isName(request.change().operator_name()) ? request.change().operator_name() : "(unnamed)",
+                    internal::isName(request.change().change_id()) ? request.change().change_id() : "(invalid)");
+        }
+        reply = (handler_.*call)(request);
+        return grpc::Status::OK;
+    }
+
+    static std::string commonNameOf(const grpc::ServerContext& context)
+    {
+        auto names = context.auth_context()->FindPropertyValues(GRPC_X509_CN_PROPERTY_NAME);
+        return names.size() == 1 ? std::string(names.front().data(), names.front().size()) : std::string();
+    }
+
+    OperatorHandler& handler_;
+    bool authenticated_;
+};
+
+static Result<std::string> readFile(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    std::string text { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    if (!file.is_open() || text.empty())
+        return fail(ResultCode::InvalidSettings, fmt::format("the file {} cannot be read or is empty", path));
+    return text;
+}
+
+static bool usesTls(const OperatorServerOptions& options) { return !options.certificateFile.empty(); }
+
+static Result<std::shared_ptr<grpc::ServerCredentials>> credentialsOf(const OperatorServerOptions& options)
+{
+    if (!usesTls(options)) {
+        // The port is free to be 0, which isLoopbackAddress does not allow in settings.
+        auto host = options.listenAddress.substr(0, options.listenAddress.rfind(':'));
+        if (!internal::isLoopbackAddress(host + ":1"))
+            return fail(ResultCode::InvalidSettings,
+                fmt::format(
+                    "operator listener {}: without TLS files a loopback address is required", options.listenAddress));
+        return grpc::InsecureServerCredentials();
+    }
+    BOOST_LEAF_AUTO(certificate, readFile(options.certificateFile));
+    BOOST_LEAF_AUTO(key, readFile(options.keyFile));
+    BOOST_LEAF_AUTO(authority, readFile(options.clientAuthorityFile));
+    grpc::SslServerCredentialsOptions ssl(GRPC_SSL_REQUEST_AND_REQUIRE_CLIENT_CERTIFICATE_AND_VERIFY);
+    ssl.pem_root_certs = authority;
+    ssl.pem_key_cert_pairs.push_back({ key, certificate });
+    return grpc::SslServerCredentials(ssl);
+}
+
+class OperatorServer::Implementation {
+public:
+    Implementation(OperatorServerOptions options, OperatorHandler& handler)
+        : options_(std::move(options))
+        , service_(handler, usesTls(options_))
+    {
+    }
+
+    Result<void> start()
+    {
+        BOOST_LEAF_AUTO(credentials, credentialsOf(options_));
+        grpc::ResourceQuota quota("operators");
+        quota.SetMaxThreads(maximumThreads).Resize(maximumQuotaBytes);
+        grpc::ServerBuilder builder;
+        builder.SetResourceQuota(quota);
+        builder.SetMaxReceiveMessageSize(static_cast<int>(options_.maximumMessageBytes));
+        builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, maximumStreamsPerConnection);
+        builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, maximumIdleMilliseconds);
+        builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, handshakeTimeoutMilliseconds);
+        // Two processes that share a port by mistake would each get a part of the calls.
+        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+        builder.AddListeningPort(options_.listenAddress, credentials, &port_);
+        builder.RegisterService(&service_);
+        server_ = builder.BuildAndStart();
+        if (!server_ || port_ <= 0)
+            return fail(ResultCode::InvalidSettings,
+                fmt::format("operator listener {}: the address cannot be used", options_.listenAddress));
+        if (usesTls(options_))
+            logger("operators")->info("listening on {} (port {}), operators need a client certificate", options_.listenAddress, port_);
+        else
+            logger("operators")
+                ->warn("listening on {} without TLS: only processes of this machine can connect, and they "
+                       "state the operator's name themselves",
+                    options_.listenAddress);
+        return {};
+    }
+
+    void stop()
+    {
+        if (server_)
+            server_->Shutdown(std::chrono::system_clock::now() + stopLimit);
+        server_.reset();
+    }
+
+    uint16_t port() const { return static_cast<uint16_t>(port_); }
+
+private:
+    OperatorServerOptions options_;
+    OperatorService service_;
+    std::unique_ptr<grpc::Server> server_;
+    int port_ = 0;
+};
+
+OperatorServer::OperatorServer(OperatorServerOptions options, OperatorHandler& handler)
+    : implementation_(std::make_unique<Implementation>(std::move(options), handler))
+{
+}
+
+OperatorServer::~OperatorServer() { stop(); }
+
+Result<void> OperatorServer::start() { return implementation_->start(); }
+
+void OperatorServer::stop() { implementation_->stop(); }
+
+uint16_t OperatorServer::port() const { return implementation_->port(); }
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Operators/OperatorServer.h
+++ b/shallotdrift/src/Operators/OperatorServer.h
@@ -26,6 +26,8 @@
 
     Result<void> start();
     void stop();
+    // The port that is listened on, also when the address asked for port 0.
+    uint16_t port() const;
 
 private:
     class Implementation;
--- /dev/null
+++ b/shallotdrift/src/Operators/TextTable.cpp
@@ -0,0 +1,64 @@
+#include "TextTable.h"
+
+#include <algorithm>
+#include <ostream>
+
+namespace shallotdrift::internal {
+
+static constexpr size_t columnGap = 2;
+
+std::string printableText(std::string_view text)
+{
+    std::string printable(text);
+    std::replace_if(
+        printable.begin(), printable.end(),
+        [](char c) { return (static_cast<unsigned char>(c) < 0x20U && c != '\n') || c == 0x7F; }, '?');
+    return printable;
+}
+
+// Characters on the terminal: UTF-8 continuation bytes take no place.
+static size_t widthOf(const std::string& text)
+{
+    auto startsCharacter = [](char c) { return (static_cast<unsigned char>(c) & 0xC0U) != 0x80U; };
+    return static_cast<size_t>(std::count_if(text.begin(), text.end(), startsCharacter));
+}
+
+static bool isNumber(const std::string& text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+TextTable::TextTable(std::vector<std::string> titles) { rows_.push_back(std::move(titles)); }
+
+void TextTable::addRow(std::vector<std::string> cells)
+{
+    cells.resize(rows_.front().size());
+    for (auto& cell : cells) {
+        cell = printableText(cell);
+        std::replace(cell.begin(), cell.end(), '\n', ' ');
+    }
+    rows_.push_back(std::move(cells));
+}
+
+void TextTable::print(std::ostream& output) const
+{
+    std::vector<size_t> widths(rows_.front().size());
+    std::vector<bool> numeric(widths.size(), !empty());
+    for (size_t row = 0; row < rows_.size(); ++row) {
+        for (size_t i = 0; i < widths.size(); ++i) {
+            widths[i] = std::max(widths[i], widthOf(rows_[row][i]));
+            numeric[i] = numeric[i] && (row == 0 || isNumber(rows_[row][i]));
+        }
+    }
+    for (const auto& row : rows_) {
+        std::string line;
+        for (size_t i = 0; i < row.size(); ++i) {
+            std::string padding(widths[i] - widthOf(row[i]), ' ');
+            line += std::string(columnGap, ' ') + (numeric[i] ? padding + row[i] : row[i] + padding);
+        }
+        line.erase(line.find_last_not_of(' ') + 1);
+        output << line << "\n";
+    }
+}
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Operators/TextTable.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <iosfwd>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace shallotdrift::internal {
+
+// Text without control characters, so that a reason or name from the log cannot steer the operator's terminal.
+std::string printableText(std::string_view);
+
+// Aligned columns for a terminal. Numbers are aligned to the right.
+class TextTable {
+public:
+    explicit TextTable(std::vector<std::string> titles);
+
+    void addRow(std::vector<std::string> cells);
+    bool empty() const { return rows_.size() == 1; }
+    void print(std::ostream&) const;
+
+private:
+    std::vector<std::vector<std::string>> rows_; // the first one holds the titles
+};
+
+} // namespace shallotdrift::internal
--- a/shallotdrift/src/Settings/CheckConfigCommand.cpp
+++ b/shallotdrift/src/Settings/CheckConfigCommand.cpp
@@ -4,7 +4,7 @@
 #include "FleetConfiguration.h"
 #include "HandbookPlan.h"
 
-#include <array>
+#include <algorithm>
 #include <fmt/format.h>
 #include <optional>
 #include <ostream>
@@ -16,8 +16,8 @@
 
 std::string checkConfigHelp()
 {
-    return "check-config [--settings=FILE] [--configuration=FILE] [--handbook=FILE] ...\n"
-           "    checks files without a running entry instance and lists every mistake\n";
+    return "check-config FILE ...\n"
+           "    checks settings, configurations and handbook entries and lists every mistake\n";
 }
 
 // Checks the files one by one and keeps the configuration for the handbook entries that follow it.
@@ -86,46 +86,56 @@
     ResultCode code_ = ResultCode::Ok;
 };
 
-struct FileOption {
-    std::string_view prefix;
-    void (FileChecker::*check)(const std::string&);
+struct FileType {
+    std::string_view section; // a line that starts with it tells the type
+    void (FileChecker::*check)(const std::string& path);
 };
 
-// In the order of checking: the configuration comes before the handbook entries that are compared with it.
-static constexpr std::array<FileOption, 3> fileOptions { {
-    { "--settings=", &FileChecker::checkSettings },
-    { "--configuration=", &FileChecker::checkConfiguration },
-    { "--handbook=", &FileChecker::checkHandbook },
-} };
+// The configuration, which has no section of a fixed name, is what the other types are not.
+static constexpr FileType settingsType { "[entry]", &FileChecker::checkSettings };
+static constexpr FileType handbookType { "[handbook]", &FileChecker::checkHandbook };
+static constexpr FileType configurationType { {}, &FileChecker::checkConfiguration };
+
+static bool holdsSection(const std::string& path, std::string_view section)
+{
+    return handleError(
+        [&]() -> Result<bool> {
+            BOOST_LEAF_AUTO(text, readSettingsFile(path));
+            return ("\n" + text).find("\n" + std::string(section)) != std::string::npos;
+        },
+        [](const Error&) { return false; });
+}
+
+static const FileType& typeOf(const std::string& path)
+{
+    for (const auto* type : { &settingsType, &handbookType }) {
+        if (holdsSection(path, type->section))
+            return *type;
+    }
+    return configurationType;
+}
 
 unsigned runCheckConfigCommand(const std::vector<std::string>& words, std::ostream& output, std::ostream& errors)
 {
-    std::vector<std::string> options(words);
-    if (!options.empty() && options.front() == commandName)
-        options.erase(options.begin());
-    auto starts = [](const std::string& word, std::string_view prefix) {
-        return word.size() > prefix.size() && word.compare(0, prefix.size(), prefix) == 0;
-    };
-    bool understood = !options.empty();
-    for (const auto& word : options) {
-        bool known = false;
-        for (const auto& option : fileOptions)
-            known = known || starts(word, option.prefix);
-        if (!known)
-            errors << "check-config: " << word << " is not understood\n";
-        understood = understood && known;
+    std::vector<std::string> paths(words);
+    if (!paths.empty() && paths.front() == commandName)
+        paths.erase(paths.begin());
+    bool understood = !paths.empty();
+    for (const auto& path : paths) {
+        if (path.empty() || path.front() == '-') {
+            errors << "check-config: " << path << " is not understood\n";
+            understood = false;
+        }
     }
     if (!understood) {
         errors << checkConfigHelp();
         return static_cast<unsigned>(ResultCode::InvalidCommand);
     }
     FileChecker checker(output, errors);
-    for (const auto& option : fileOptions) {
-        for (const auto& word : options) {
-            if (starts(word, option.prefix))
-                (checker.*option.check)(word.substr(option.prefix.size()));
-        }
-    }
+    // Handbook entries come last, because they are compared with the configuration.
+    std::stable_partition(paths.begin(), paths.end(), [](const auto& path) { return &typeOf(path) != &handbookType; });
+    for (const auto& path : paths)
+        (checker.*typeOf(path).check)(path);
     return static_cast<unsigned>(checker.code());
 }
 
--- a/shallotdrift/src/Settings/CheckConfigCommand.h
+++ b/shallotdrift/src/Settings/CheckConfigCommand.h
@@ -6,9 +6,8 @@
 
 namespace shallotdrift {
 
-// Checks files without a running entry: --settings=FILE, --configuration=FILE, --handbook=FILE, each any number of
-// times. Pools and zones of the handbook entries are looked up in the configuration when one is given.
-// Returns the number of a result code.
+// Checks files without a running entry instance. What a file holds follows from its sections. Pools and zones of
+// handbook entries are looked up in the configuration when one is given. Returns the number of a result code.
 unsigned runCheckConfigCommand(const std::vector<std::string>& words, std::ostream& output, std::ostream& errors);
 
 // Lines of help for the command.
--- a/shallotdrift/src/Settings/SettingsTables.cpp
+++ b/shallotdrift/src/Settings/SettingsTables.cpp
@@ -31,7 +31,8 @@
                 { "log_level", &S::logLevel, F::choice({ "trace", "debug", "info", "warning", "error" }), optional,
                     "least severe log lines that are written" },
                 { "fixed_peers", &S::fixedPeers, F::yesNo(), optional,
-                    "addresses in [peers] are used even where the log names others, for example behind address translation" },
+                    "addresses in [peers] are used even where the log names others, for example behind address "
+                    "translation" },
             },
             required },
         { "platform",
--- a/test/FoldLog.h
+++ b/test/FoldLog.h
@@ -31,7 +31,7 @@
         text += fmt::format("[kind check]\npool = {}\nurgency = urgent\n", pool);
         text += fmt::format("[kind ledger]\npool = {}\nlong_running = yes\nurgency = bulk\n", pool);
         text += "[team surveyors]\nslot_quota = 8\n";
-        return text + fmt::format("[timing]\nkey_window_ms = {}\n", keyWindowMilliseconds);
+        return text + fmt::format("[limits]\nkey_window_s = {}\n", keyWindowMilliseconds / 1000);
     }
 };
 
--- /dev/null
+++ b/test/HandbookTest.cpp
@@ -0,0 +1,94 @@
+#include "Story.h"
+
+#include "shallotdrift/Settings.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shallotdrift {
+
+static const std::string head = "[handbook]\ntitle = t\nwhen = w\n";
+
+class HandbookTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HandbookTest);
+    CPPUNIT_TEST(everyActionIsRead);
+    CPPUNIT_TEST(mistakesAreReportedTogether);
+    CPPUNIT_TEST(namesAreComparedWithTheConfiguration);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string messageOf(const std::string& text)
+    {
+        return handleError(
+            [&]() -> Result<std::string> {
+                BOOST_LEAF_CHECK(parseHandbook(text, "h.ini"));
+                return std::string();
+            },
+            [](const Error& error) { return error.message; });
+    }
+
+    static void assertMistake(const std::string& message, const std::string& expected)
+    {
+        CPPUNIT_ASSERT_MESSAGE("expected: " + expected + "\nread: " + message,
+            ("\n" + message).find("\n" + expected) != std::string::npos);
+    }
+
+public:
+    // Guards against an action whose keys are read into another action's members.
+    void everyActionIsRead()
+    {
+        auto plan = parseHandbook(head
+                + "[step 1]\naction = lend\nfrom = a\nto = b\ncount = 3\n[step 2]\naction = return\npool = b\n"
+                  "[step 3]\nzone = za\naction = drain\n[step 4]\naction = wave\npool = a\nmax_parallel = 2\n",
+            "h.ini");
+        CPPUNIT_ASSERT(plan.has_value());
+        using Action = HandbookStep::Action;
+        const auto& steps = plan->steps;
+        CPPUNIT_ASSERT_EQUAL(size_t { 4 }, steps.size());
+        CPPUNIT_ASSERT(steps[0].action == Action::Lend && steps[0].fromPool == "a" && steps[0].toPool == "b");
+        CPPUNIT_ASSERT_EQUAL(3U, steps[0].count);
+        CPPUNIT_ASSERT(steps[1].action == Action::ReturnLent && steps[1].pool == "b");
+        CPPUNIT_ASSERT(steps[2].action == Action::Drain && steps[2].zone == "za");
+        CPPUNIT_ASSERT(steps[3].action == Action::Wave && steps[3].pool == "a" && steps[3].maximumParallel == 2);
+    }
+
+    // Guards against an entry that is accepted for review and fails when it is invoked at night.
+    void mistakesAreReportedTogether()
+    {
+        auto message = messageOf("[handbook]\ntitle =\n[step 2]\naction = lend\nto = a\nfrom = a\ncount = 0\nzone = z\n"
+                                 "[step 3]\naction = reboot\n[step 3x]\n[step 4]\naction = drain\n[other]\n");
+        assertMistake(message, "h.ini:2: [handbook] title = (empty): allowed is text");
+        assertMistake(message, "h.ini:1: [handbook] when is missing: required is text");
+        assertMistake(message, "h.ini:3: [step 2]: steps are numbered from 1 without gaps; expected is [step 1]");
+        assertMistake(message, "h.ini:3: [step 2]: from and to have to be different pools");
+        assertMistake(message, "h.ini:7: [step 2] count = 0: allowed is a whole number from 1 to 1000");
+        assertMistake(message, "h.ini:8: [step 2] zone = z: unknown key; known keys are action, from, to, count");
+        assertMistake(message, "h.ini:10: [step 3] action = reboot: allowed is one of lend, return, drain, wave");
+        assertMistake(message, "h.ini:11: [step 3x] action is missing: required is one of lend");
+        assertMistake(message, "h.ini:12: [step 4]: a drain needs a zone or a pool");
+        assertMistake(message, "h.ini:14: [other]: unknown section");
+        Section steps("an entry has from 1 to 20 steps");
+        assertMistake(messageOf(head), "h.ini:4: [step N]: 1 to 20 steps are required, 0 are given");
+        std::string tooLong = head;
+        for (int i = 1; i <= 21; ++i)
+            tooLong += "[step " + std::to_string(i) + "]\naction = return\n";
+        assertMistake(messageOf(tooLong), "h.ini:46: [step N]: 1 to 20 steps are required, 21 are given");
+    }
+
+    // Guards against entries that outlive the pools and zones they name.
+    void namesAreComparedWithTheConfiguration()
+    {
+        auto configuration
+            = parseFleetConfiguration("[zone za]\nregion = r\n[pool a]\nminimum_available = 1\n", "f.ini");
+        auto plan = parseHandbook(
+            head + "[step 1]\naction = lend\nto = b\ncount = 1\n[step 2]\naction = drain\nzone = zb\npool = a\n",
+            "h.ini");
+        CPPUNIT_ASSERT(configuration.has_value() && plan.has_value());
+        auto unknown = unknownNames(*plan, *configuration);
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, unknown.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("[step 1] names pool b, which the configuration does not have"), unknown[0]);
+        CPPUNIT_ASSERT_EQUAL(std::string("[step 2] names zone zb, which the configuration does not have"), unknown[1]);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HandbookTest);
+
+} // namespace shallotdrift
--- /dev/null
+++ b/test/HostileSettingsTest.cpp
@@ -0,0 +1,132 @@
+#include "Story.h"
+
+#include "shallotdrift/Settings.h"
+
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <rapidcheck.h>
+#include <sstream>
+
+namespace shallotdrift {
+
+using Parser = std::function<Result<void>(const std::string&)>;
+
+// Texts made of fragments that look like INI, of mutilated sections and of arbitrary bytes.
+static rc::Gen<std::string> hostileText()
+{
+    static const std::vector<std::string> fragments { "[entry]", "[pool a]", "[pool ", "[kind k]", "[handbook]",
+        "[step 1]", "[step 99999999999999999999]", "[]", "[", "]", "=", "id", "count = 1",
+        "count = 99999999999999999999", "guaranteed_share = nan", "guaranteed_share = 1e309", "minimum_available = -0",
+        "action = lend", "<<<END", "\"", ";", "#", "\n", "\r\n", "\r", "\t", " ", "\xEF\xBB\xBF", "\xC3\xA1",
+        "\xED\xA0\x80", "\xFF", "address = [::1]:1", "address = [[::1]]:1", "zone = %s%n", std::string(1, '\0'),
+        std::string(5000, 'x'), std::string(300, '[') };
+    auto fragment = rc::gen::elementOf(fragments);
+    auto bytes = rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    auto part = rc::gen::weightedOneOf<std::string>(
+        { { 6, fragment }, { 3, rc::gen::just(std::string("\n")) }, { 1, bytes } });
+    return rc::gen::map(rc::gen::container<std::vector<std::string>>(part), [](const std::vector<std::string>& parts) {
+        std::string text;
+        for (const auto& item : parts)
+            text += item;
+        return text;
+    });
+}
+
+// Checks that every line of the message names a line of the text, and that the message stays short.
+static void checkMessage(const std::string& message, const std::string& text)
+{
+    static constexpr size_t maximumMessageBytes = 200000;
+    RC_ASSERT(!message.empty());
+    RC_ASSERT(message.size() < maximumMessageBytes);
+    auto lineCount = 1 + std::count(text.begin(), text.end(), '\n');
+    std::istringstream lines(message);
+    for (std::string line; std::getline(lines, line);) {
+        RC_ASSERT(line.compare(0, 6, "h.ini:") == 0);
+        size_t end = 0;
+        auto number = std::stol(line.substr(6), &end);
+        RC_ASSERT(number >= 1 && number <= lineCount);
+        RC_ASSERT(line.at(6 + end) == ':');
+        for (char c : line)
+            RC_ASSERT(static_cast<unsigned char>(c) >= 0x20U);
+    }
+}
+
+static void checkParser(const Parser& parser, const std::string& text)
+{
+    auto message = handleError(
+        [&]() -> Result<std::string> {
+            BOOST_LEAF_CHECK(parser(text));
+            return std::string("accepted");
+        },
+        [](const Error& error) { return error.message; });
+    if (message != "accepted")
+        checkMessage(message, text);
+}
+
+static const std::vector<Parser>& parsers()
+{
+    static const std::vector<Parser> all {
+        [](const std::string& text) -> Result<void> {
+            BOOST_LEAF_CHECK(parseEntrySettings(text, "h.ini"));
+            return {};
+        },
+        [](const std::string& text) -> Result<void> {
+            BOOST_LEAF_CHECK(parseFleetConfiguration(text, "h.ini"));
+            return {};
+        },
+        [](const std::string& text) -> Result<void> {
+            BOOST_LEAF_CHECK(parseHandbook(text, "h.ini"));
+            return {};
+        },
+    };
+    return all;
+}
+
+class HostileSettingsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HostileSettingsTest);
+    CPPUNIT_TEST(errorsNameALineOfTheFile);
+    CPPUNIT_TEST(largeTextsAreReadInTime);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against crashes, and against errors that cannot be found in the file.
+    void errorsNameALineOfTheFile()
+    {
+        bool held = rc::check("every error names a line of the file", [] {
+            auto text = *hostileText();
+            for (const auto& parser : parsers())
+                checkParser(parser, text);
+        });
+        CPPUNIT_ASSERT(held);
+    }
+
+    // Guards against texts within the size limit that take time or memory out of proportion.
+    void largeTextsAreReadInTime()
+    {
+        static constexpr size_t limit = 256 << 10;
+        static constexpr std::chrono::seconds longest { 5 };
+        for (const std::string unit : { "a=\n", "[pool a]\n", "[x]\n", "=\n", "[entry]\nid=", "[", "\n" }) {
+            Section section("a text of repeated " + unit);
+            std::string text = "[entry]\n";
+            while (text.size() + unit.size() <= limit)
+                text += unit;
+            auto begin = std::chrono::steady_clock::now();
+            for (const auto& parser : parsers())
+                checkParser(parser, text);
+            CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < longest);
+        }
+        Section distinct("a text of different sections and keys");
+        std::string text;
+        for (int i = 0; text.size() + 40 < limit; ++i)
+            text += "[pool p" + std::to_string(i) + "]\nminimum_available = 1\n";
+        auto begin = std::chrono::steady_clock::now();
+        for (const auto& parser : parsers())
+            checkParser(parser, text);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < longest);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HostileSettingsTest);
+
+} // namespace shallotdrift
--- /dev/null
+++ b/test/OperatorServerTest.cpp
@@ -0,0 +1,267 @@
+#include "FoldAccess.h"
+#include "Story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <filesystem>
+#include <fstream>
+#include <google/protobuf/util/json_util.h>
+#include <grpcpp/grpcpp.h>
+#include <operator.grpc.pb.h>
+#include <sstream>
+
+namespace shallotdrift {
+
+static const std::string certificates = "test/data/tls/";
+
+// A server on a free port of 127.0.0.1 with a fleet behind it.
+struct ServedFleet {
+    explicit ServedFleet(bool tls = false)
+    {
+        log.fillFleet();
+        OperatorServerOptions options;
+        options.listenAddress = "127.0.0.1:0";
+        if (tls) {
+            options.certificateFile = certificates + "server.pem";
+            options.keyFile = certificates + "server.key";
+            options.clientAuthorityFile = certificates + "authority.pem";
+        }
+        server = std::make_unique<OperatorServer>(options, handler);
+        CPPUNIT_ASSERT(static_cast<bool>(server->start()));
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(server->port()); }
+
+    SharedLog log;
+    FoldAccess access { log };
+    OperatorHandler handler { access };
+    std::unique_ptr<OperatorServer> server;
+};
+
+// A command as main runs it.
+struct CommandRun {
+    CommandRun(const std::vector<std::string>& words, const OperatorCommandOptions& options)
+    {
+        code = runOperatorCommand(words, options, output, errors);
+    }
+
+    std::string all() const { return output.str() + errors.str(); }
+    bool shows(const std::string& text) const { return all().find(text) != std::string::npos; }
+
+    std::ostringstream output;
+    std::ostringstream errors;
+    unsigned code = 0;
+};
+
+class OperatorServerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OperatorServerTest);
+    CPPUNIT_TEST(commandsReachTheFleet);
+    CPPUNIT_TEST(nextEntryTakesTheChange);
+    CPPUNIT_TEST(certificateNamesTheOperator);
+    CPPUNIT_TEST(strangersAreRefused);
+    CPPUNIT_TEST(listenerWithoutTlsStaysOnLoopback);
+    CPPUNIT_TEST(oversizedMessagesAreRefused);
+    CPPUNIT_TEST(commandMistakesAreListed);
+    CPPUNIT_TEST_SUITE_END();
+
+    static OperatorCommandOptions optionsFor(const std::vector<std::string>& addresses)
+    {
+        OperatorCommandOptions options;
+        options.entryAddresses = addresses;
+        options.operatorName = "ana";
+        options.reason = "test";
+        options.timeout = Milliseconds(5000);
+        return options;
+    }
+
+    static OperatorCommandOptions tlsOptionsFor(const std::string& address, const std::string& operatorName)
+    {
+        auto options = optionsFor({ address });
+        options.operatorName = "someone-else";
+        options.certificateFile = certificates + operatorName + ".pem";
+        options.keyFile = certificates + operatorName + ".key";
+        options.authorityFile = certificates + "authority.pem";
+        return options;
+    }
+
+    static std::string writeFile(const std::string& name, const std::string& text)
+    {
+        auto path = (std::filesystem::temp_directory_path() / name).string();
+        std::ofstream(path) << text;
+        return path;
+    }
+
+public:
+    // Guards against commands that drop an argument on the way, and output that hides the result code.
+    void commandsReachTheFleet()
+    {
+        ServedFleet fleet;
+        auto options = optionsFor({ fleet.address() });
+        CommandRun status({ "status" }, options);
+        CPPUNIT_ASSERT_EQUAL(0U, status.code);
+        CPPUNIT_ASSERT(status.shows("accounts") && status.shows("result 0 ok"));
+        options.changeId = "c-1";
+        CommandRun lend({ "lend", "--from=accounts", "--to=archive", "--count=2" }, options);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(lend.all(), 0U, lend.code);
+        CPPUNIT_ASSERT_EQUAL(2U, fleet.log.available("accounts"));
+        CPPUNIT_ASSERT(lend.shows("change id c-1") && lend.shows("next: explain change c-1"));
+        CommandRun explain({ "explain", "change", "c-1" }, options);
+        CPPUNIT_ASSERT(explain.shows("c-1.2") && explain.shows("waits for gate entries e1"));
+        CommandRun abort({ "move", "abort", "c-1.1" }, [&] {
+            options.changeId = "c-2";
+            return options;
+        }());
+        CPPUNIT_ASSERT_EQUAL(0U, abort.code);
+        Section handbook("a handbook entry goes from the file to its invocation");
+        options.changeId.clear();
+        auto path = writeFile("shallotdrift-flood.ini",
+            "[handbook]\ntitle = t\nwhen = w\n[step 1]\naction = lend\nto = archive\ncount = 1\n");
+        CPPUNIT_ASSERT_EQUAL(0U, CommandRun({ "handbook", "propose", "flood", "--file=" + path }, options).code);
+        CommandRun own({ "handbook", "review", "flood", "1", "approve" }, options);
+        CPPUNIT_ASSERT_EQUAL(406U, own.code);
+        CPPUNIT_ASSERT(own.shows("result 406 same-reviewer") && own.shows("next: have another operator review it"));
+        options.operatorName = "bea";
+        CPPUNIT_ASSERT_EQUAL(0U, CommandRun({ "handbook", "review", "flood", "1", "approve" }, options).code);
+        CPPUNIT_ASSERT(CommandRun({ "handbook", "list" }, options).shows("approved"));
+        CommandRun rehearsal({ "handbook", "rehearse", "flood" }, options);
+        CPPUNIT_ASSERT(rehearsal.shows("nothing was submitted") && rehearsal.shows("AVAILABLE NOW"));
+        CPPUNIT_ASSERT_EQUAL(0U, CommandRun({ "handbook", "invoke", "flood" }, options).code);
+        Section others("the other commands");
+        CPPUNIT_ASSERT_EQUAL(0U, CommandRun({ "drain", "--instances=reports-1,reports-2" }, options).code);
+        CPPUNIT_ASSERT_EQUAL(0U, CommandRun({ "wave", "start", "--zone=zb", "--max-parallel=1" }, options).code);
+        CPPUNIT_ASSERT_EQUAL(404U, CommandRun({ "wave", "abort", "w-9" }, options).code);
+        CPPUNIT_ASSERT_EQUAL(411U, CommandRun({ "return", "--pool=reports" }, options).code);
+        CPPUNIT_ASSERT_EQUAL(0U, CommandRun({ "entry", "remove", "e2", "--confirm-stopped=yes" }, options).code);
+        CPPUNIT_ASSERT(CommandRun({ "audit", "--limit=1" }, options).shows("entry removed"));
+        CommandRun show({ "config", "show" }, options);
+        CPPUNIT_ASSERT(show.shows("configuration version 1"));
+        auto config = writeFile("shallotdrift-fleet.ini", fleet.log.fold.state().configurationIni + "[lending]\n");
+        CPPUNIT_ASSERT_EQUAL(0U,
+            CommandRun({ "config", "propose", "--file=" + config, "--expected=1", "--reviewer=ana" }, options).code);
+        Section json("scripts read the reply as JSON from the output alone");
+        options.json = true;
+        proto::StatusReply reply;
+        CommandRun script({ "status" }, options);
+        CPPUNIT_ASSERT(google::protobuf::util::JsonStringToMessage(script.output.str(), &reply).ok());
+        CPPUNIT_ASSERT_EQUAL(3, reply.pools_size());
+    }
+
+    // Guards against a change that ends at the first entry that is stopped or cut off from the log.
+    void nextEntryTakesTheChange()
+    {
+        ServedFleet fleet;
+        ServedFleet cutOff;
+        cutOff.access.down = true;
+        std::string stopped;
+        {
+            ServedFleet gone;
+            stopped = gone.address();
+        }
+        auto options = optionsFor({ stopped, cutOff.address(), fleet.address() });
+        CommandRun lend({ "lend", "--to=archive", "--count=1" }, options);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(lend.all(), 0U, lend.code);
+        CPPUNIT_ASSERT(lend.shows("does not answer") && lend.shows("answers 110"));
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, fleet.log.fold.state().moves.size());
+        Section none("when no entry answers, the code says so and the exit status is 3");
+        CommandRun alone({ "status" }, optionsFor({ stopped }));
+        CPPUNIT_ASSERT_EQUAL(607U, alone.code);
+        CPPUNIT_ASSERT_EQUAL(3, exitStatusOf(alone.code));
+        CommandRun outage({ "lend", "--to=archive", "--count=1" }, optionsFor({ cutOff.address() }));
+        CPPUNIT_ASSERT_EQUAL(110U, outage.code);
+        CPPUNIT_ASSERT(outage.shows("same --change_id"));
+        CPPUNIT_ASSERT_EQUAL(3, exitStatusOf(outage.code));
+        CPPUNIT_ASSERT_EQUAL(0, exitStatusOf(0));
+        CPPUNIT_ASSERT_EQUAL(1, exitStatusOf(403));
+        CPPUNIT_ASSERT_EQUAL(2, exitStatusOf(503));
+    }
+
+    // Guards against operators who act under another operator's name.
+    void certificateNamesTheOperator()
+    {
+        ServedFleet fleet(true);
+        CommandRun lend({ "lend", "--to=archive", "--count=1" }, tlsOptionsFor(fleet.address(), "ana"));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(lend.all(), 0U, lend.code);
+        CPPUNIT_ASSERT_EQUAL(std::string("operator:ana"), fleet.log.fold.state().audit.back().actor);
+    }
+
+    // Guards against a listener that serves clients whose certificate is missing or of a foreign authority.
+    void strangersAreRefused()
+    {
+        ServedFleet fleet(true);
+        CommandRun foreign({ "status" }, tlsOptionsFor(fleet.address(), "mallory"));
+        CPPUNIT_ASSERT_EQUAL(607U, foreign.code);
+        CommandRun plain({ "status" }, optionsFor({ fleet.address() }));
+        CPPUNIT_ASSERT_EQUAL(607U, plain.code);
+        Section bare("a TLS client without a certificate is refused too");
+        grpc::SslCredentialsOptions ssl;
+        std::ifstream file(certificates + "authority.pem");
+        ssl.pem_root_certs.assign(std::istreambuf_iterator<char>(file), {});
+        auto stub = proto::Operator::NewStub(grpc::CreateChannel(fleet.address(), grpc::SslCredentials(ssl)));
+        grpc::ClientContext context;
+        context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(5));
+        proto::StatusReply reply;
+        CPPUNIT_ASSERT(!stub->Status(&context, {}, &reply).ok());
+    }
+
+    // Guards against an unprotected listener that other machines can reach.
+    void listenerWithoutTlsStaysOnLoopback()
+    {
+        SharedLog log;
+        FoldAccess access(log);
+        OperatorHandler handler(access);
+        for (const auto& address : { "0.0.0.0:0", "10.0.0.1:7002", "[::]:0", "localhost:0", "" }) {
+            OperatorServerOptions options;
+            options.listenAddress = address;
+            OperatorServer server(options, handler);
+            auto message = handleError(
+                [&]() -> Result<std::string> {
+                    BOOST_LEAF_CHECK(server.start());
+                    return std::string();
+                },
+                [](const Error& error) { return error.message; });
+            CPPUNIT_ASSERT(message.find("a loopback address is required") != std::string::npos);
+        }
+        Section files("TLS files that cannot be read stop the start");
+        OperatorServerOptions options;
+        options.listenAddress = "127.0.0.1:0";
+        options.certificateFile = certificates + "absent.pem";
+        OperatorServer server(options, handler);
+        CPPUNIT_ASSERT(!static_cast<bool>(server.start()));
+    }
+
+    // Guards against messages that fill the entry's memory.
+    void oversizedMessagesAreRefused()
+    {
+        ServedFleet fleet;
+        auto stub = proto::Operator::NewStub(grpc::CreateChannel(fleet.address(), grpc::InsecureChannelCredentials()));
+        grpc::ClientContext context;
+        proto::ProposeConfigurationRequest request;
+        request.set_ini(std::string(2 << 20, 'x'));
+        proto::ChangeReply reply;
+        auto status = stub->ProposeConfiguration(&context, request, &reply);
+        CPPUNIT_ASSERT_EQUAL(
+            static_cast<int>(grpc::StatusCode::RESOURCE_EXHAUSTED), static_cast<int>(status.error_code()));
+        CPPUNIT_ASSERT_EQUAL(0, fleet.access.submissions);
+    }
+
+    // Guards against words that a command passes over in silence.
+    void commandMistakesAreListed()
+    {
+        auto options = optionsFor({ "127.0.0.1:1" });
+        CommandRun lend({ "lend", "--to=a b", "--count=0", "--count=2", "--colour=red", "--from", "extra" }, options);
+        CPPUNIT_ASSERT_EQUAL(503U, lend.code);
+        for (const auto& text : { "to = a b: allowed is a name", "count = 0: allowed is a whole number from 1 to 1000",
+                 "--colour=red is not known", "--from needs a value", "extra is one word too many",
+                 "usage: lend --to=TO" })
+            CPPUNIT_ASSERT_MESSAGE(text, lend.shows(text));
+        CPPUNIT_ASSERT_EQUAL(503U, CommandRun({ "wave", "start" }, options).code);
+        CPPUNIT_ASSERT_EQUAL(503U, CommandRun({ "handbook" }, options).code);
+        CPPUNIT_ASSERT_EQUAL(503U, CommandRun({ "config", "propose", "--file=x" }, options).code);
+        CPPUNIT_ASSERT_EQUAL(503U, CommandRun({ "status" }, optionsFor({})).code);
+        CPPUNIT_ASSERT(isOperatorCommand("handbook") && isOperatorCommand("lend") && !isOperatorCommand("entry2"));
+        CPPUNIT_ASSERT(operatorCommandHelp().find("handbook invoke NAME [VERSION]") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OperatorServerTest);
+
+} // namespace shallotdrift
--- a/test/SettingsStandIn.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "SettingsStandIn.h"
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -176,11 +176,11 @@
             if (!deployment.is_directory() || !std::filesystem::exists(deployment.path() / "fleet.ini"))
                 continue;
             Section section(deployment.path().string());
-            std::vector<std::string> words { "--settings=" + (deployment.path() / "entry.ini").string(),
-                "--configuration=" + (deployment.path() / "fleet.ini").string() };
+            std::vector<std::string> words { (deployment.path() / "entry.ini").string(),
+                (deployment.path() / "fleet.ini").string() };
             for (const auto& file : std::filesystem::directory_iterator(deployment)) {
                 if (file.path().filename().string().rfind("handbook-", 0) == 0)
-                    words.push_back("--handbook=" + file.path().string());
+                    words.push_back(file.path().string());
             }
             CPPUNIT_ASSERT(words.size() >= 5);
             std::ostringstream output;
@@ -195,14 +195,13 @@
         std::ostringstream output;
         std::ostringstream errors;
         CPPUNIT_ASSERT_EQUAL(503U, runCheckConfigCommand({ "check-config" }, output, errors));
-        CPPUNIT_ASSERT_EQUAL(503U, runCheckConfigCommand({ "--setting=x" }, output, errors));
-        CPPUNIT_ASSERT_EQUAL(501U, runCheckConfigCommand({ "--settings=samples/absent.ini" }, output, errors));
+        CPPUNIT_ASSERT_EQUAL(503U, runCheckConfigCommand({ "--colour=red" }, output, errors));
+        CPPUNIT_ASSERT_EQUAL(501U, runCheckConfigCommand({ "samples/absent.ini" }, output, errors));
         assertMistake(errors.str(), "samples/absent.ini:1: the file cannot be read");
         Section other("a handbook entry for another fleet is reported");
         CPPUNIT_ASSERT_EQUAL(502U,
             runCheckConfigCommand(
-                { "--handbook=samples/karoo/handbook-drain-zone.ini", "--configuration=samples/chamber/fleet.ini" },
-                output, errors));
+                { "samples/karoo/handbook-drain-zone.ini", "samples/chamber/fleet.ini" }, output, errors));
         assertMistake(errors.str(), "samples/karoo/handbook-drain-zone.ini:1: [step 2] names zone jb-1");
     }
 };
