--- /dev/null
+++ b/shallotdrift/src/Replay/FleetModel.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "../Policy/LendingPlanner.h"
+#include "../Policy/WavePlanner.h"
+#include "Trace.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace shallotdrift::internal {
+
+// The fleet's state as the replay changes it: proposals are accepted or refused, the state follows.
+class FleetModel {
+public:
+    virtual ~FleetModel() = default;
+
+    virtual const FleetState& state() const = 0;
+
+    virtual ResultCode proposeMove(const std::string& moveId, const PlannedMove&, Instant now) = 0;
+    virtual ResultCode startWave(const std::string& waveId, const TraceEvent&, Instant now) = 0;
+    virtual std::vector<PlannedMaintenance> planMaintenance() const = 0;
+    virtual ResultCode startMaintenance(const PlannedMaintenance&, Instant now) = 0;
+    // All gate entries acknowledge the closing of a move or maintenance.
+    virtual void acknowledgeClose(const std::string& operationId, Instant now) = 0;
+    virtual void grantMove(const std::string& moveId, Instant now) = 0;
+    virtual void abortMove(const std::string& moveId, Instant now) = 0;
+    virtual void finishMaintenance(const std::string& waveId, const std::string& instance, bool completed, Instant now)
+        = 0;
+    virtual void loseInstance(const std::string& instance, Instant now) = 0;
+    virtual void observeInstance(const std::string& instance, Instant now) = 0;
+};
+
+std::unique_ptr<FleetModel> makeFleetModel(const Trace&);
+
+} // namespace shallotdrift::internal
