--- a/shallotdrift/src/Policy/PoolLedger.cpp
+++ b/shallotdrift/src/Policy/PoolLedger.cpp
@@ -37,17 +37,14 @@
             continue;
         slots[instance.pool] += instance.shape.slots;
         ++counts[instance.pool];
-        if (!instance.lost)
-            pool->racks.insert(instance.rack);
         if (instance.available()) {
             ++pool->available;
             if (instance.operationId.empty())
                 pool->movable.push_back(&instance);
-        } else if (!instance.lost && instance.status != InstanceStatus::Active) {
-            pool->busyRack = instance.rack;
         }
     }
     for (auto& [name, pool] : pools_) {
+        pool.budget = poolBudget(state, name);
         if (counts[name] && slots[name])
             pool.slotsPerInstance = static_cast<double>(slots[name]) / counts[name];
     }
@@ -67,15 +64,14 @@
 
 bool PoolLedger::mayLeave(const Pool& pool, const Instance& instance)
 {
-    bool rackFree = pool.busyRack.empty() || pool.busyRack == instance.rack || pool.racks.size() < 2;
-    return rackFree && pool.available > pool.configuration->minimumAvailable;
+    return checkPlannedWork(pool.budget, instance).code == ResultCode::Ok;
 }
 
 void PoolLedger::recordMove(Pool& from, Pool& to, const Instance& instance)
 {
     --from.available;
     ++to.incoming;
-    from.busyRack = instance.rack;
+    takePlannedWork(from.budget, instance);
     from.movable.erase(std::find(from.movable.begin(), from.movable.end(), &instance));
     ++movesUnderWay_;
 }
--- a/shallotdrift/src/Policy/PoolLedger.h
+++ b/shallotdrift/src/Policy/PoolLedger.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "../Fold/FleetState.h"
+#include "../Fold/PlannedWork.h"
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -20,8 +20,7 @@
         uint32_t incoming = 0; // moves to the pool under way or planned
         uint32_t home = 0; // instances whose home it is
         double slotsPerInstance = 8;
-        std::string busyRack; // rack of the pool that is under planned work
-        std::set<std::string> racks;
+        PoolBudget budget;
         std::vector<const Instance*> movable; // may be moved by the planner
         uint32_t need = 0; // instances, by current demand
         uint32_t slowNeed = 0; // instances, by recent demand
@@ -33,7 +32,7 @@
     Pool* find(const std::string&);
     uint32_t movesUnderWay() const { return movesUnderWay_; }
 
-    // The pool stays at or above its minimum, and only one of its racks is under planned work.
+    // The rules of the fold: the pool stays at or above its minimum, one of its racks is under planned work at once.
     static bool mayLeave(const Pool&, const Instance&);
     void recordMove(Pool& from, Pool& to, const Instance&);
 
--- a/shallotdrift/src/Replay/EventQueue.h
+++ b/shallotdrift/src/Replay/EventQueue.h
@@ -44,10 +44,7 @@
         uint64_t a;
         uint64_t b;
 
-        bool operator<(const Event& other) const
-        {
-            return at != other.at ? at > other.at : sequence > other.sequence;
-        }
+        bool operator<(const Event& other) const { return at != other.at ? at > other.at : sequence > other.sequence; }
     };
 
     std::priority_queue<Event> events_;
--- a/shallotdrift/src/Replay/FleetDriver.cpp
+++ b/shallotdrift/src/Replay/FleetDriver.cpp
@@ -176,9 +176,8 @@
 
 bool FleetDriver::selects(const TraceEvent& event, const SimulatedInstance& instance) const
 {
-    auto matches = [](const std::string& selector, const std::string& value) {
-        return selector.empty() || selector == value;
-    };
+    auto matches
+        = [](const std::string& selector, const std::string& value) { return selector.empty() || selector == value; };
     return matches(event.zone, instance.zone) && matches(event.rack, instance.rack)
         && matches(event.instance, instance.id)
         && matches(event.pool, model_->state().instances.at(instance.id).homePool);
@@ -188,7 +187,6 @@
 {
     uint64_t number = events_.size();
     events_.push_back(event);
-    bool wholeZone = !event.zone.empty() && event.rack.empty() && event.pool.empty() && event.instance.empty();
     if (event.action == TraceEvent::Action::Wave) {
         queue_.schedule<&FleetDriver::foldWave>(queue_.now() + trace_.environment.appendDelay, this, number);
         return;
@@ -209,11 +207,11 @@
     }
     auto recorded = queue_.now() + trace_.environment.listDelay;
     if (event.action == TraceEvent::Action::Lose) {
-        if (wholeZone)
+        if (event.selectsZone())
             silentZones_.insert(event.zone);
         queue_.schedule<&FleetDriver::recordLoss>(recorded, this, number);
     } else if (event.action == TraceEvent::Action::Restore) {
-        if (wholeZone)
+        if (event.selectsZone())
             silentZones_.erase(event.zone);
         queue_.schedule<&FleetDriver::recordReturn>(recorded, this, number);
     }
@@ -225,6 +223,8 @@
         if (instance.dead && selects(events_[event], instance))
             model_->loseInstance(id, queue_.now());
     }
+    if (events_[event].selectsZone())
+        model_->removeEntries(events_[event].zone, queue_.now());
     change_();
 }
 
@@ -234,6 +234,8 @@
         if (!instance.dead && selects(events_[event], instance) && model_->state().instances.at(id).lost)
             model_->observeInstance(id, queue_.now());
     }
+    if (events_[event].selectsZone())
+        model_->joinEntries(events_[event].zone, queue_.now());
     change_();
 }
 
--- a/shallotdrift/src/Replay/FleetModel.h
+++ b/shallotdrift/src/Replay/FleetModel.h
@@ -10,7 +10,7 @@
 
 namespace shallotdrift::internal {
 
-// The fleet's state as the replay changes it: proposals are accepted or refused, the state follows.
+// The fleet's state as the replay changes it through the fold.
 class FleetModel {
 public:
     virtual ~FleetModel() = default;
@@ -29,6 +29,9 @@
         = 0;
     virtual void loseInstance(const std::string& instance, Instant now) = 0;
     virtual void observeInstance(const std::string& instance, Instant now) = 0;
+    // The entries of a zone stop or start.
+    virtual void removeEntries(const std::string& zone, Instant now) = 0;
+    virtual void joinEntries(const std::string& zone, Instant now) = 0;
 };
 
 std::unique_ptr<FleetModel> makeFleetModel(const Trace&);
--- a/shallotdrift/src/Replay/ReplayReport.cpp
+++ b/shallotdrift/src/Replay/ReplayReport.cpp
@@ -28,8 +28,8 @@
 
 static void printHeading(const std::string& name, std::ostream& stream)
 {
-    stream << fmt::format("{}\n  {:<12} {:>8} {:>8} {:>9} {:>9} {:>8}  refusals and failures\n", name, "kind", "offered",
-        "in time", "p50 ms", "p99 ms", "share");
+    stream << fmt::format("{}\n  {:<12} {:>8} {:>8} {:>9} {:>9} {:>8}  refusals and failures\n", name, "kind",
+        "offered", "in time", "p50 ms", "p99 ms", "share");
 }
 
 void printReport(const ReplayReport& report, std::ostream& stream)
--- a/shallotdrift/src/Replay/ReplayReport.h
+++ b/shallotdrift/src/Replay/ReplayReport.h
@@ -23,10 +23,7 @@
     std::map<ResultCode, uint64_t> refusals;
     std::map<ResultCode, uint64_t> failures; // other ends than in time
 
-    double inTimeShare() const
-    {
-        return offered ? static_cast<double>(inTime) / static_cast<double>(offered) : 1;
-    }
+    double inTimeShare() const { return offered ? static_cast<double>(inTime) / static_cast<double>(offered) : 1; }
 };
 
 struct ReplayReport {
--- a/shallotdrift/src/Replay/Simulation.cpp
+++ b/shallotdrift/src/Replay/Simulation.cpp
@@ -34,6 +34,7 @@
 
 Simulation::Simulation(const Trace& trace, const ReplayPolicy& policy)
     : trace_(trace)
+    , policy_(policy)
     , measures_(trace)
     , instances_(makeInstances(trace))
     , fleet_(trace, policy.lending, queue_, instances_, measures_.report())
@@ -43,31 +44,35 @@
     measures_.report().trace = trace.name;
     measures_.report().policy = policy.name;
     fleet_.onChange([this] { scheduleRefresh(); });
-    makeEntries(policy);
+    makeEntries();
 }
 
-void Simulation::makeEntries(const ReplayPolicy& policy)
+void Simulation::makeEntries()
 {
     std::vector<std::string> zones;
     for (const auto& [name, zone] : trace_.configuration.zones)
         zones.push_back(name);
-    entries_.resize(trace_.entries);
-    for (uint32_t i = 0; i < trace_.entries; ++i) {
-        auto& entry = entries_[i];
-        entry.zone = zones[i % zones.size()];
-        SchedulerOptions options;
-        options.seed = trace_.seed * 1000 + i;
-        options.zone = entry.zone;
-        options.admission = policy.admission;
-        options.placement = policy.placement;
-        entry.scheduler = std::make_unique<Scheduler>(options);
-        entry.scheduler->setConfiguration(trace_.configuration, Instant {});
-        entry.scheduler->setPeerDemand({}, trace_.entries, Instant {});
-        refreshView(i, 0);
-        // Spread over the interval, as independent processes are.
-        queue_.schedule<&Simulation::tick>(Instant {} + tickInterval * i / trace_.entries, this, i);
-        queue_.schedule<&Simulation::heartbeat>(Instant {} + heartbeatInterval * i / trace_.entries, this, i);
-    }
+    for (uint32_t i = 0; i < trace_.entries; ++i)
+        addEntry(zones[i % zones.size()]);
+}
+
+void Simulation::addEntry(const std::string& zone)
+{
+    auto number = static_cast<uint32_t>(entries_.size());
+    auto& entry = entries_.emplace_back();
+    entry.zone = zone;
+    SchedulerOptions options;
+    options.seed = trace_.seed * 1000 + number;
+    options.zone = zone;
+    options.admission = policy_.admission;
+    options.placement = policy_.placement;
+    entry.scheduler = std::make_unique<Scheduler>(options);
+    entry.scheduler->setConfiguration(trace_.configuration, queue_.now());
+    entry.scheduler->setPeerDemand({}, trace_.entries, queue_.now());
+    refreshView(number, 0);
+    // Spread over the interval, as independent processes are.
+    queue_.schedule<&Simulation::tick>(queue_.now() + tickInterval * number / trace_.entries, this, number);
+    queue_.schedule<&Simulation::heartbeat>(queue_.now() + heartbeatInterval * number / trace_.entries, this, number);
 }
 
 ReplayReport Simulation::run()
@@ -111,6 +116,7 @@
         queue_.schedule<&Simulation::arrive>(Instant {} + trace_.requests[number + 1].at, this, number + 1);
     const auto& given = trace_.requests[number];
     auto& request = requests_[number];
+    request.arrived = true;
     request.arrivedAt = queue_.now();
     request.deadline = queue_.now() + given.timeout;
     auto entry = liveEntry();
@@ -201,7 +207,8 @@
     bool inTime = completion.code == ResultCode::Ok && queue_.now() <= request.deadline;
     measures_.completed(number, completion.code, inTime, sinceStart(attempt.startedAt) - sinceStart(request.arrivedAt));
     if (completion.code == ResultCode::Ok)
-        measures_.executed(trace_.requests[number].kind, sinceStart(attempt.startedAt), trace_.requests[number].runtime);
+        measures_.executed(
+            trace_.requests[number].kind, sinceStart(attempt.startedAt), trace_.requests[number].runtime);
 }
 
 void Simulation::closeAttempt(Attempt& attempt)
@@ -325,39 +332,35 @@
         for (const auto& [pool, slots] : entry.demand)
             demands[pool] += slots;
     }
+    { std::map<std::string,int> av, rn; for (auto& [id,i] : fleet_.state().instances) { if (i.available()) { ++av[i.pool]; rn[i.pool]+=instances_.at(id).running; } }
+    fprintf(stderr,"%4.0f ", std::chrono::duration<double>(queue_.now().time_since_epoch()).count()); for (auto& [p,d]:demands) fprintf(stderr,"%s %d/%d d%.0f  ",p.substr(0,6).c_str(),av[p],rn[p],d); fprintf(stderr,"\n"); }
     fleet_.planLending(demands);
 }
 
 void Simulation::applyEvent(uint64_t number, uint64_t)
 {
     const auto& event = trace_.events[number];
-    bool wholeZone = !event.zone.empty() && event.rack.empty() && event.pool.empty() && event.instance.empty();
     fleet_.apply(event);
-    if (wholeZone && event.action == TraceEvent::Action::Lose)
-        loseEntries(event.zone, true);
-    else if (wholeZone && event.action == TraceEvent::Action::Restore)
-        loseEntries(event.zone, false);
+    if (event.selectsZone() && event.action == TraceEvent::Action::Lose)
+        loseEntries(event.zone);
+    else if (event.selectsZone() && event.action == TraceEvent::Action::Restore)
+        restoreEntries(event.zone);
 }
 
-void Simulation::loseEntries(const std::string& zone, bool lost)
+void Simulation::loseEntries(const std::string& zone)
 {
     for (uint32_t i = 0; i < entries_.size(); ++i) {
         auto& entry = entries_[i];
-        if (entry.zone != zone || entry.alive != lost)
+        if (entry.zone != zone || !entry.alive)
             continue;
-        entry.alive = !lost;
-        if (!lost) {
-            // A new process: the requests of the old one have ended at their callers.
-            refreshView(i, 0);
-            continue;
-        }
+        entry.alive = false;
         for (auto& attempt : entry.attempts) {
             if (attempt.instance)
                 closeAttempt(attempt);
         }
         for (size_t number = 0; number < requests_.size(); ++number) {
             auto& request = requests_[number];
-            if (request.ended || request.entry != i || request.arrivedAt == Instant {})
+            if (!request.arrived || request.ended || request.entry != i)
                 continue;
             request.ended = true;
             measures_.completed(number, ResultCode::ConnectionLost, false, Microseconds { 0 });
@@ -365,6 +368,16 @@
     }
 }
 
+void Simulation::restoreEntries(const std::string& zone)
+{
+    // New processes take the places of the lost ones, which keep their numbers for answers still on their way.
+    uint32_t lost = 0;
+    for (const auto& entry : entries_)
+        lost += entry.zone == zone && !entry.alive ? 1 : 0;
+    for (uint32_t i = 0; i < lost; ++i)
+        addEntry(zone);
+}
+
 void Simulation::scheduleRefresh()
 {
     for (uint32_t i = 0; i < entries_.size(); ++i) {
--- a/shallotdrift/src/Replay/Simulation.h
+++ b/shallotdrift/src/Replay/Simulation.h
@@ -6,6 +6,7 @@
 #include "Measures.h"
 #include "TraceReplay.h"
 
+#include <deque>
 #include <memory>
 #include <random>
 #include <vector>
@@ -45,11 +46,13 @@
         uint32_t runs = 0; // starts on instances
         Instant arrivedAt {};
         Instant deadline {};
+        bool arrived = false;
         bool ended = false;
         bool cancelled = false;
     };
 
-    void makeEntries(const ReplayPolicy&);
+    void makeEntries();
+    void addEntry(const std::string& zone);
 
     // Events.
     void arrive(uint64_t request, uint64_t);
@@ -71,19 +74,21 @@
     void closeAttempt(Attempt&);
     void startOnInstance(uint32_t entry, uint64_t number, Attempt&);
     void answerAt(Instant, uint32_t entry, uint64_t number, ResultCode, bool bytesSent);
-    void loseEntries(const std::string& zone, bool lost);
+    void loseEntries(const std::string& zone);
+    void restoreEntries(const std::string& zone);
     void scheduleRefresh();
     std::optional<uint32_t> liveEntry();
     Duration delay(const Entry&, const SimulatedInstance&) const;
     Attempt& attemptOf(uint64_t entry, uint64_t number) { return entries_[entry].attempts[number - 1]; }
 
     const Trace& trace_;
+    ReplayPolicy policy_;
     EventQueue queue_;
     Measures measures_;
     SimulatedInstances instances_;
     FleetDriver fleet_;
     std::mt19937_64 random_;
-    std::vector<Entry> entries_;
+    std::deque<Entry> entries_; // grows while references are in use
     std::vector<Request> requests_;
 };
 
--- a/shallotdrift/src/Replay/Trace.h
+++ b/shallotdrift/src/Replay/Trace.h
@@ -60,6 +60,9 @@
     std::string rack;
     std::string pool;
     std::string instance;
+
+    // A whole zone with its entries.
+    bool selectsZone() const { return !zone.empty() && rack.empty() && pool.empty() && instance.empty(); }
 };
 
 // Named part of the trace; requests are counted in the phase of their arrival.
--- a/shallotdrift/src/Replay/TraceParser.cpp
+++ b/shallotdrift/src/Replay/TraceParser.cpp
@@ -24,7 +24,7 @@
 
     struct EnvironmentMember {
         const char* name;
-        Microseconds TraceEnvironment::* member;
+        Microseconds TraceEnvironment::*member;
     };
     constexpr EnvironmentMember environmentMembers[] = {
         { "zone_delay_us", &TraceEnvironment::zoneDelay },
@@ -115,8 +115,7 @@
             trace_.configurationIni = line.text("configuration", true);
             handleError(
                 [this]() -> Result<void> {
-                    BOOST_LEAF_ASSIGN(
-                        trace_.configuration, parseFleetConfiguration(trace_.configurationIni, place_));
+                    BOOST_LEAF_ASSIGN(trace_.configuration, parseFleetConfiguration(trace_.configurationIni, place_));
                     return {};
                 },
                 [&line](const Error& error) { line.mistake("configuration: " + error.message); });
