Let the first configuration be proposed to an entry that is not ready

Cause: an entry is not ready for callers before the first configuration, and refused the operator's call for it. Change: the status carries whether the state is complete; changes need that, not readiness.

--- a/shallotdrift/src/Entry/Core.h
+++ b/shallotdrift/src/Entry/Core.h
@@ -42,6 +42,7 @@
     // Nothing is in flight any more: appends EntryLeft and sends nothing from now on.
     void leave();
     bool idle() const;
+    bool stateComplete() const { return keeper_.complete() && !context_.stopping; }
 
 private:
     void handle(CallerRequest&&, Instant now);
--- a/shallotdrift/src/Entry/OperatorAccess.cpp
+++ b/shallotdrift/src/Entry/OperatorAccess.cpp
@@ -67,6 +67,7 @@
         reply.set_entry(context.settings.id);
         reply.set_zone(context.settings.zone);
         reply.set_ready(core_.ready());
+        reply.set_state_complete(core_.stateComplete());
         reply.set_platform_reachable(context.outputs.platformReachable());
         Instant now = BootClock::now();
         for (auto& entry : *reply.mutable_entries()) {
--- a/shallotdrift/src/Operators/ChangeRunner.cpp
+++ b/shallotdrift/src/Operators/ChangeRunner.cpp
@@ -12,7 +12,8 @@
 {
     proto::StatusReply status;
     entry_.fillStatus(status);
-    return status.ready();
+    // Before the first configuration no entry is ready for callers, but the configuration has to be proposed.
+    return status.ready() || status.state_complete();
 }
 
 proto::ChangeReply ChangeRunner::run(
