--- a/shallotdrift/Fold.h
+++ b/shallotdrift/Fold.h
@@ -5,3 +5,5 @@
 #include "src/Fold/FleetState.h"
 #include "src/Fold/Fold.h"
 #include "src/Fold/PlannedWork.h"
+#include "src/Fold/SnapshotAssembler.h"
+#include "src/Fold/SnapshotWriter.h"
--- a/shallotdrift/src/Policy/TaskPlanner.h
+++ b/shallotdrift/src/Policy/TaskPlanner.h
@@ -32,9 +32,17 @@
     std::string reason;
 };
 
+// A task that no instance of its pool can hold, not even an empty one.
+struct ImpossibleTask {
+    std::string task;
+    uint64_t expectedToken = 0;
+    std::string reason;
+};
+
 struct TaskPlan {
     std::vector<PlannedPlacement> placements;
     std::vector<PlannedPreemption> preemptions;
+    std::vector<ImpossibleTask> impossible;
 };
 
 // Placements of waiting tasks and preemptions of placed ones. Pure.
--- a/test/FoldLog.h
+++ b/test/FoldLog.h
@@ -48,11 +48,13 @@
 
     proto::Record stamped(proto::Record record)
     {
-        if (!record.has_id()) {
-            record.mutable_id()->set_writer(writer);
-            record.mutable_id()->set_boot(boot);
-            record.mutable_id()->set_sequence(++sequences_[{ writer, boot }]);
+        auto& id = *record.mutable_id();
+        if (id.writer().empty()) {
+            id.set_writer(writer);
+            id.set_boot(boot);
         }
+        if (id.sequence() == 0)
+            id.set_sequence(++sequences_[{ id.writer(), id.boot() }]);
         if (record.written_ms() == 0)
             record.set_written_ms(nowMilliseconds);
         if (record.actor().empty())
