--- a/standin/PlatformServer.cpp
+++ b/standin/PlatformServer.cpp
@@ -40,10 +40,23 @@
     return std::max<int64_t>(std::strtoll(request.get_param_value(name).c_str(), nullptr, 10), 0);
 }
 
-bool PlatformServer::Listener::bind(const std::string& host, int port)
+static int portOf(int descriptor, decltype(getpeername)* name)
 {
+    sockaddr_in address {};
+    socklen_t length = sizeof(address);
+    if (name(descriptor, reinterpret_cast<sockaddr*>(&address), &length) || address.sin_family != AF_INET)
+        return -1;
+    return ntohs(address.sin_port);
+}
+
+int PlatformServer::Listener::bind(const std::string& host, int port)
+{
+    if (!port)
+        port = bind_to_any_port(host);
+    else if (!bind_to_port(host, port))
+        return -1;
     // The library listens with a backlog of 5; a second listen() raises it.
-    return bind_to_port(host, port) && ::listen(svr_sock_, listenBacklog) == 0;
+    return port > 0 && ::listen(svr_sock_, listenBacklog) == 0 ? port : -1;
 }
 
 PlatformServer::PlatformServer(PlatformServerOptions options, PlatformReboots::Call call)
@@ -86,7 +99,8 @@
 
 bool PlatformServer::start()
 {
-    if (!server_.bind(options_.host, options_.port))
+    port_ = server_.bind(options_.host, options_.port);
+    if (port_ < 0)
         return false;
     thread_ = std::thread([this] { server_.listen_after_bind(); });
     return true;
@@ -96,6 +110,11 @@
 {
     server_.stop();
     log_.wakeReaders();
+    // An idle connection would hold its thread until the keep-alive time is over.
+    for (int descriptor = 3; descriptor < maximumDescriptor; ++descriptor) {
+        if (port_ > 0 && portOf(descriptor, getsockname) == port_)
+            shutdown(descriptor, SHUT_RDWR);
+    }
     if (thread_.joinable())
         thread_.join();
 }
@@ -137,22 +156,12 @@
     }
 }
 
-static int portOf(int descriptor, decltype(getpeername)* name)
-{
-    sockaddr_in address {};
-    socklen_t length = sizeof(address);
-    if (name(descriptor, reinterpret_cast<sockaddr*>(&address), &length) || address.sin_family != AF_INET)
-        return -1;
-    return ntohs(address.sin_port);
-}
-
 // The library gives handlers no access to the socket, so it is found by the ports of its two ends.
 void PlatformServer::dropConnection(const Request& request, Response& response) const
 {
     response.set_header("Connection", "close");
     for (int descriptor = 3; descriptor < maximumDescriptor; ++descriptor) {
-        if (portOf(descriptor, getpeername) == request.remote_port
-            && portOf(descriptor, getsockname) == options_.port) {
+        if (portOf(descriptor, getpeername) == request.remote_port && portOf(descriptor, getsockname) == port_) {
             shutdown(descriptor, SHUT_RDWR);
             return;
         }
--- a/standin/PlatformServer.h
+++ b/standin/PlatformServer.h
@@ -16,7 +16,7 @@
 
 struct PlatformServerOptions {
     std::string host;
-    int port = 0;
+    int port = 0; // 0: any free one
     size_t threads = 400; // each connection holds one
     size_t rebootThreads = 16;
     Milliseconds listLag { 1000 };
@@ -35,6 +35,7 @@
     PlatformFleet& fleet() { return fleet_; }
     // Binds and serves on a thread. Returns false when the address cannot be bound.
     bool start();
+    int port() const { return port_; }
     void stop();
 
 private:
@@ -44,7 +45,8 @@
 
     // Server with a backlog that holds the connections of a whole fleet's start.
     struct Listener : httplib::Server {
-        bool bind(const std::string& host, int port);
+        // Returns the bound port, -1 on failure.
+        int bind(const std::string& host, int port);
     };
 
     void route(const char* method, const char* pattern, Handler, bool faultsApply = true);
@@ -92,6 +94,7 @@
     Counters counters_;
     PlatformReboots reboots_;
     Listener server_;
+    int port_ = 0;
     std::thread thread_;
 };
 
