--- a/shallotdrift/src/Policy/CostModel.h
+++ b/shallotdrift/src/Policy/CostModel.h
@@ -17,6 +17,9 @@
         double meanSeconds = 0;
         double deviationSeconds = 0;
         double failureRate = 0;
+
+        // Exceeded by about one run in six. Work that starts with only its mean left misses its deadline half the time.
+        double likelySeconds() const { return meanSeconds + deviationSeconds; }
     };
 
     // Size class of a declared run time: 0 when none is declared, then steps of a factor of four from 4 ms on.
--- a/shallotdrift/src/Policy/FloodModel.cpp
+++ b/shallotdrift/src/Policy/FloodModel.cpp
@@ -5,8 +5,9 @@
 
 namespace shallotdrift::internal {
 
-static constexpr double fallSeconds = 2;
-static constexpr double recentFallSeconds = 10;
+static constexpr double smoothingSeconds = 2;
+static constexpr double noise = 0.3; // of the demand
+static constexpr double recentSmoothingSeconds = 10;
 // A flood ends when demand stays below this part of the home slots; the gap to its start is the hysteresis.
 static constexpr double endFraction = 0.5;
 static constexpr Duration endAfter = std::chrono::seconds(2);
@@ -24,7 +25,8 @@
 
 static double smoothed(double old, double value, double seconds, double timeConstant)
 {
-    if (value >= old)
+    // A small rise is noise of the arrivals and is averaged; a large one is the start of a flood.
+    if (value > old * (1 + noise))
         return value;
     return value + (old - value) * std::exp(-std::max(0.0, seconds) / timeConstant);
 }
@@ -36,8 +38,8 @@
     auto& pool = pools_[name];
     double seconds = secondsBetween(pool.updatedAt, now);
     pool.updatedAt = now;
-    pool.current = smoothed(pool.current, demandSlots, seconds, fallSeconds);
-    pool.recent = smoothed(pool.recent, demandSlots, seconds, recentFallSeconds);
+    pool.current = smoothed(pool.current, demandSlots, seconds, smoothingSeconds);
+    pool.recent = smoothed(pool.recent, demandSlots, seconds, recentSmoothingSeconds);
     if (demandSlots >= homeSlots * endFraction)
         pool.belowSince = now;
     if (!pool.flooded && demandSlots > homeSlots)
--- a/shallotdrift/src/Policy/FloodModel.h
+++ b/shallotdrift/src/Policy/FloodModel.h
@@ -22,9 +22,9 @@
     void update(const std::string& pool, double demandSlots, double homeSlots, Instant now);
 
     bool flooded(const std::string& pool) const;
-    // Rises at once and falls with a time constant of 2 s, so that noise does not cause moves.
+    // Smoothed over 2 s, so that noise does not cause moves; a large rise counts at once.
     double currentSlots(const std::string& pool) const;
-    // Falls with a time constant of 10 s; decides when borrowed instances may go.
+    // Smoothed over 10 s; decides when borrowed instances may go.
     double recentSlots(const std::string& pool) const;
     // Of the flood under way, from past floods of the pool; a flood that outlasted them is taken to be half over.
     double remainingSeconds(const std::string& pool, Instant now) const;
--- a/shallotdrift/src/Policy/PoolState.cpp
+++ b/shallotdrift/src/Policy/PoolState.cpp
@@ -4,8 +4,14 @@
 
 namespace shallotdrift::internal {
 
-// Waiting work counts as the slots that would clear it within this time.
-static constexpr double clearSeconds = 1;
+// Waiting work counts as the slots that would clear it within its time limit, but not faster than this. With 1 s for
+// all kinds, floods borrowed twice the instances that their arrivals needed.
+static constexpr double shortestClearSeconds = 10;
+
+static double clearSeconds(const KindConfiguration& kind)
+{
+    return std::max(shortestClearSeconds, std::chrono::duration<double>(kind.defaultTimeout).count());
+}
 
 uint32_t PoolState::shareSlots() const
 {
@@ -43,8 +49,10 @@
 {
     double slots = 0;
     for (const auto* kind : kinds) {
-        double present = kind->usage.current() + kind->queue.workSeconds() / clearSeconds;
-        slots += std::max(present, kind->offered.at(now));
+        // While work waits, the slots in use show the capacity and not the demand.
+        double present = kind->queue.empty() ? kind->usage.current() : 0;
+        double backlog = kind->queue.workSeconds() / clearSeconds(kind->configuration);
+        slots += std::max(present, kind->offered.at(now) + backlog);
     }
     return slots;
 }
--- a/shallotdrift/src/Policy/SchedulerAdmission.cpp
+++ b/shallotdrift/src/Policy/SchedulerAdmission.cpp
@@ -75,11 +75,11 @@
     double wait = expectedWaitSeconds(request, kind, now);
     auto cost = kind.cost.estimate(CostModel::sizeClassOf(request.declaredRuntime), now);
     double left = secondsOf(request.deadline - now);
-    if (wait + cost.meanSeconds <= left)
+    if (wait + cost.likelySeconds() <= left)
         return std::nullopt;
     return Objection { ResultCode::WouldBeLate,
         fmt::format("expected wait {} ms + run time {} ms > {} ms left; {} waiting, {} slots of pool {}",
-            millisecondsOf(wait), millisecondsOf(cost.meanSeconds), millisecondsOf(left), kind.queue.size(),
+            millisecondsOf(wait), millisecondsOf(cost.likelySeconds()), millisecondsOf(left), kind.queue.size(),
             kind.pool->effectiveSlots(), kind.pool->name) };
 }
 
@@ -108,7 +108,9 @@
 void Scheduler::Implementation::enqueue(WorkItem& item, Instant now)
 {
     item.attempt = 0;
-    item.expectedSeconds = item.kind->cost.estimate(item.sizeClass, now).meanSeconds;
+    auto cost = item.kind->cost.estimate(item.sizeClass, now);
+    item.expectedSeconds = cost.meanSeconds;
+    item.likelySeconds = cost.likelySeconds();
     item.kind->queue.insert(item);
 }
 
@@ -121,7 +123,7 @@
             continue;
         }
         double left = secondsOf(item->request.deadline - now);
-        bool late = order_.refusesEarly() && left < item->expectedSeconds;
+        bool late = order_.refusesEarly() && left < item->likelySeconds;
         if (left > 0 && !late)
             return;
         kind.queue.remove(*item);
@@ -136,7 +138,7 @@
         } else {
             endWithoutRunning(*item, ResultCode::WouldBeLate,
                 fmt::format("waited {} ms; run time {} ms > {} ms left", millisecondsOf(waited),
-                    millisecondsOf(item->expectedSeconds), millisecondsOf(left)),
+                    millisecondsOf(item->likelySeconds), millisecondsOf(left)),
                 effects);
         }
     }
--- a/shallotdrift/src/Policy/SchedulerReports.cpp
+++ b/shallotdrift/src/Policy/SchedulerReports.cpp
@@ -10,7 +10,8 @@
 static constexpr size_t differentFailuresLimit = 3;
 // Sends of a request whose attempts may have run.
 static constexpr uint32_t executedSendsLimit = 4;
-// Sends of a request that instances did not take; its deadline ends it earlier as a rule.
+// Sends of a request to instances that cannot be reached. Busy answers are not limited, since each of them pauses its
+// instance and the deadline ends the request.
 static constexpr uint32_t sendsLimit = 32;
 static constexpr double slownessWeight = 0.05; // of one completion
 // Part of a pool that may be ejected at once: faults of the work itself must not empty the pool.
@@ -83,6 +84,7 @@
     auto& target = *attempt.target;
     if (report.code == ResultCode::TargetBusy) {
         target.share.recordBusy(target.inFlight, now);
+        --item.sends;
         if (attempt.probe)
             target.health.probeAbandoned();
     } else {
--- a/shallotdrift/src/Policy/WorkItem.h
+++ b/shallotdrift/src/Policy/WorkItem.h
@@ -21,9 +21,10 @@
     uint64_t sequence = 0; // order of arrival
     Instant submittedAt {};
     double expectedSeconds = 0; // of run time, at the time it was queued
+    double likelySeconds = 0; // as expectedSeconds, but seldom exceeded
     uint64_t attempt = 0; // under way; 0 while queued
     uint64_t lastAttempt = 0;
-    uint32_t sends = 0;
+    uint32_t sends = 0; // less those that a busy instance refused
     // Outcome of the last attempt that ran or may have run; the request can no longer be refused as not run.
     std::optional<ResultCode> executedCode;
     std::vector<std::shared_ptr<TargetInstance>> failedOn;
--- a/shallotdrift/src/Replay/DeploymentModel.cpp
+++ b/shallotdrift/src/Replay/DeploymentModel.cpp
@@ -100,7 +100,8 @@
 
 const ModelKind& DeploymentModel::kind(const std::string& kindName) const
 {
-    auto position = std::find_if(kinds.begin(), kinds.end(), [&kindName](const auto& candidate) { return candidate.name == kindName; });
+    auto position = std::find_if(
+        kinds.begin(), kinds.end(), [&kindName](const auto& candidate) { return candidate.name == kindName; });
     if (position == kinds.end())
         throw std::out_of_range("no kind " + kindName);
     return *position;
@@ -108,8 +109,8 @@
 
 const ModelKind& DeploymentModel::firstOf(Urgency urgency) const
 {
-    auto position
-        = std::find_if(kinds.begin(), kinds.end(), [urgency](const auto& candidate) { return candidate.urgency == urgency; });
+    auto position = std::find_if(
+        kinds.begin(), kinds.end(), [urgency](const auto& candidate) { return candidate.urgency == urgency; });
     if (position == kinds.end())
         throw std::out_of_range("no kind of the urgency");
     return *position;
--- a/shallotdrift/src/Replay/Simulation.cpp
+++ b/shallotdrift/src/Replay/Simulation.cpp
@@ -332,8 +332,6 @@
         for (const auto& [pool, slots] : entry.demand)
             demands[pool] += slots;
     }
-    { std::map<std::string,int> av, rn; for (auto& [id,i] : fleet_.state().instances) { if (i.available()) { ++av[i.pool]; rn[i.pool]+=instances_.at(id).running; } }
-    fprintf(stderr,"%4.0f ", std::chrono::duration<double>(queue_.now().time_since_epoch()).count()); for (auto& [p,d]:demands) fprintf(stderr,"%s %d/%d d%.0f  ",p.substr(0,6).c_str(),av[p],rn[p],d); fprintf(stderr,"\n"); }
     fleet_.planLending(demands);
 }
 
