Keep room for guaranteed kinds beside bulk work, and measure the shares by slots in use

Cause: in a shared pool, bulk runs of 2 s filled all slots, and short guaranteed work waited for them to end. The old measure of the shares compared arrivals with starts in windows and counted the edges of floods as losses. Change: bulk work beyond its share leaves room for the likely demand of the other kinds; work that may not be sent again prefers instances without failures; a pool that waits for a wave does not lend; a succession of floods is acted on after one occurrence; the share is sampled from slots in use; jobs that cannot run are counted on their own.

--- a/shallotdrift/src/Policy/AdmissionOrder.cpp
+++ b/shallotdrift/src/Policy/AdmissionOrder.cpp
@@ -16,6 +16,9 @@
 
     bool earlierArrival(const WorkItem& a, const WorkItem& b) { return a.sequence < b.sequence; }
 
+    // Offered load of a kind that had no request for some seconds.
+    constexpr double negligibleSlots = 0.01;
+
     class SharesAndUrgencyOrder final : public AdmissionOrder {
     public:
         AdmissionQueue::Earlier earlier() const override { return earlierDeadline; }
@@ -30,10 +33,26 @@
                 if (!kind->queue.empty() && (!best || precedes(*kind, *best)))
                     best = kind;
             }
-            return best;
+            return best && best->configuration.urgency == Urgency::Bulk && !leavesRoom(pool, now) ? nullptr : best;
         }
 
     private:
+        // Bulk work beyond its guaranteed share leaves room for the other kinds' next requests. Running work is not
+        // preempted, so that these would otherwise wait for a long bulk run to end although their share is unused.
+        static bool leavesRoom(const PoolState& pool, Instant now)
+        {
+            double slots = pool.effectiveSlots();
+            double reserve = 0;
+            for (const auto* kind : pool.kinds) {
+                double offered = kind->offered.at(now);
+                if (kind->configuration.urgency == Urgency::Bulk || offered < negligibleSlots)
+                    continue;
+                double likely = std::min(offered + std::sqrt(offered), kind->configuration.guaranteedShare * slots);
+                reserve += std::max(0.0, likely - kind->usage.current());
+            }
+            return reserve <= 0 || pool.running() + reserve < pool.shareSlots();
+        }
+
         static bool precedes(const KindState& a, const KindState& b)
         {
             if (a.configuration.urgency != b.configuration.urgency)
--- a/shallotdrift/src/Policy/FloodModel.cpp
+++ b/shallotdrift/src/Policy/FloodModel.cpp
@@ -14,7 +14,9 @@
 static constexpr double learningWeight = 0.3; // of the newest flood
 // Duration assumed before the first flood of a pool has ended.
 static constexpr double unknownFloodSeconds = 20;
-static constexpr uint32_t floodsBeforePrediction = 2;
+// One is enough: a wrong guess costs a few moves of unused instances, and a flood that is met unprepared loses work
+// for the time of a move.
+static constexpr uint32_t floodsBeforePrediction = 1;
 static constexpr double confidenceNeeded = 0.7;
 // A start that scatters by more than this part of the gap is not worth moving instances for.
 static constexpr double regularityNeeded = 0.4;
--- a/shallotdrift/src/Policy/LendingPlanner.cpp
+++ b/shallotdrift/src/Policy/LendingPlanner.cpp
@@ -182,6 +182,9 @@
 bool LendingPlanner::Implementation::mayLend(
     const Round& round, const PoolLedger::Pool& from, const PoolLedger::Pool& to) const
 {
+    // A move uses up the budget and the rack that the wave needs next.
+    if (from.waveWaits && from.available <= from.home)
+        return false;
     if (&from == &to || (!from.configuration->lends && from.available <= from.home))
         return false;
     if (from.urgency == Urgency::Urgent && to.urgency == Urgency::Bulk && from.available <= from.home)
--- a/shallotdrift/src/Policy/Placement.cpp
+++ b/shallotdrift/src/Policy/Placement.cpp
@@ -28,8 +28,13 @@
         return wait / instance.health.successRate();
     }
 
-    bool better(const TargetInstance& a, const TargetInstance& b)
+    bool better(const TargetInstance& a, const TargetInstance& b, const WorkItem& item)
     {
+        // A failure of work that may not be sent again is final, so that no waiting time weighs against it.
+        double successA = a.health.successRate();
+        double successB = b.health.successRate();
+        if (!item.request.resendAllowed && successA != successB && !a.health.ejected() && !b.health.ejected())
+            return successA > successB;
         double waitA = expectedWait(a);
         double waitB = expectedWait(b);
         if (waitA != waitB)
@@ -46,7 +51,7 @@
             if (!first)
                 return nullptr;
             auto second = pick(pool, item, now, random, first.get());
-            return second && better(*second, *first) ? second : first;
+            return second && better(*second, *first, item) ? second : first;
         }
 
     private:
--- a/shallotdrift/src/Policy/PoolLedger.cpp
+++ b/shallotdrift/src/Policy/PoolLedger.cpp
@@ -17,6 +17,21 @@
     }
     countInstances(state);
     countMoves(state);
+    noteWaves(state);
+}
+
+void PoolLedger::noteWaves(const FleetState& state)
+{
+    for (const auto& [id, wave] : state.waves) {
+        if (wave.status != WaveStatus::Running)
+            continue;
+        for (const auto& name : wave.pending) {
+            auto instance = state.instances.find(name);
+            auto* pool = instance == state.instances.end() ? nullptr : find(instance->second.pool);
+            if (pool)
+                pool->waveWaits = true;
+        }
+    }
 }
 
 PoolLedger::Pool* PoolLedger::find(const std::string& name)
--- a/shallotdrift/src/Policy/PoolLedger.h
+++ b/shallotdrift/src/Policy/PoolLedger.h
@@ -22,6 +22,7 @@
         double slotsPerInstance = 8;
         PoolBudget budget;
         std::vector<const Instance*> movable; // may be moved by the planner
+        bool waveWaits = false; // some of its instances wait for a maintenance wave
         uint32_t need = 0; // instances, by current demand
         uint32_t slowNeed = 0; // instances, by recent demand
     };
@@ -39,6 +40,7 @@
 private:
     void countInstances(const FleetState&);
     void countMoves(const FleetState&);
+    void noteWaves(const FleetState&);
 
     std::map<std::string, Pool> pools_;
     uint32_t movesUnderWay_ = 0;
--- a/shallotdrift/src/Replay/Measures.cpp
+++ b/shallotdrift/src/Replay/Measures.cpp
@@ -5,8 +5,7 @@
 
 namespace shallotdrift::internal {
 
-// Long enough that work which arrives in a window mostly starts in it.
-static constexpr Microseconds windowLength = std::chrono::seconds(5);
+static constexpr Microseconds windowLength = std::chrono::seconds(1);
 
 static double secondsOf(Microseconds time) { return std::chrono::duration<double>(time).count(); }
 
@@ -24,16 +23,9 @@
             if (request.at >= trace.phases[phase].from && request.at < trace.phases[phase].to)
                 phasesOf_[i].push_back(phase);
         }
-        if (!request.cancelAfter && !request.cannotRun)
-            window(request.kind, request.at).offeredSeconds += secondsOf(request.runtime);
     }
 }
 
-Measures::Window& Measures::window(const std::string& kind, Microseconds at)
-{
-    return windows_[kind][at / windowLength];
-}
-
 void Measures::count(size_t request, void (*change)(KindReport&, ResultCode), ResultCode code)
 {
     const auto& kind = trace_.requests[request].kind;
@@ -43,8 +35,22 @@
         change(report_.phases[trace_.phases[phase].name][kind], code);
 }
 
+void Measures::endedBadJob(size_t request, ResultCode code)
+{
+    count(
+        request,
+        [](KindReport& kind, ResultCode value) {
+            ++kind.cannotRun;
+            bool told = value == ResultCode::CannotRun || value == ResultCode::JobFailed;
+            kind.cannotRunAnswered += told ? 1 : 0;
+        },
+        code);
+}
+
 void Measures::refused(size_t request, ResultCode code)
 {
+    if (trace_.requests[request].cannotRun)
+        return endedBadJob(request, code);
     count(
         request,
         [](KindReport& kind, ResultCode value) {
@@ -56,6 +62,8 @@
 
 void Measures::completed(size_t request, ResultCode code, bool inTime, Microseconds startDelay)
 {
+    if (trace_.requests[request].cannotRun)
+        return endedBadJob(request, code);
     if (inTime) {
         count(
             request,
@@ -86,20 +94,15 @@
         request, [](KindReport& kind, ResultCode) { ++kind.cancelled; }, ResultCode::Cancelled);
 }
 
-void Measures::executed(const std::string& kind, Microseconds startedAt, Microseconds runtime)
-{
-    window(kind, startedAt).doneSeconds += secondsOf(runtime);
-}
-
-void Measures::sampleSlots(const std::string& pool, uint32_t slots, Microseconds now)
+void Measures::sampleUse(const std::string& kind, uint32_t poolSlots, const KindUse& use, Microseconds now)
 {
-    for (const auto& [name, kind] : trace_.configuration.kinds) {
-        if (kind.pool != pool || kind.longRunning)
-            continue;
-        auto& sampled = window(name, now);
-        sampled.slotSum += slots;
-        ++sampled.slotSamples;
-    }
+    const auto& configuration = trace_.configuration.kinds.at(kind);
+    // Refused work was demand too; it would have held slots for its run time.
+    double demand = use.open + use.refusedInSecond * secondsOf(configuration.expectedRuntime);
+    double due = std::min(configuration.guaranteedShare * poolSlots, demand);
+    auto& window = windows_[kind][now / windowLength];
+    window.due += due;
+    window.kept += std::min<double>(due, use.running);
 }
 
 double Measures::guaranteedKept(const std::string& kind, Microseconds from, Microseconds to) const
@@ -107,18 +110,15 @@
     auto windows = windows_.find(kind);
     if (windows == windows_.end())
         return 1;
-    double share = trace_.configuration.kinds.at(kind).guaranteedShare;
-    double entitled = 0;
+    double due = 0;
     double kept = 0;
     for (const auto& [number, window] : windows->second) {
-        if (windowLength * number < from || windowLength * (number + 1) > to || !window.slotSamples)
+        if (windowLength * number < from || windowLength * number >= to)
             continue;
-        double guaranteed = share * window.slotSum / window.slotSamples * secondsOf(windowLength);
-        double due = std::min(guaranteed, window.offeredSeconds);
-        entitled += due;
-        kept += std::min(due, window.doneSeconds);
+        due += window.due;
+        kept += window.kept;
     }
-    return entitled > 0 ? kept / entitled : 1;
+    return due > 0 ? kept / due : 1;
 }
 
 void Measures::setDelays(KindReport& kind, std::vector<double>& delays)
--- a/shallotdrift/src/Replay/Measures.h
+++ b/shallotdrift/src/Replay/Measures.h
@@ -9,6 +9,13 @@
 
 namespace shallotdrift::internal {
 
+// Requests of a kind at one moment.
+struct KindUse {
+    uint32_t open = 0; // arrived and not ended
+    uint32_t running = 0; // on instances
+    uint32_t refusedInSecond = 0; // in the last second
+};
+
 // Collects what happens in a replay and turns it into the report.
 class Measures {
 public:
@@ -18,25 +25,21 @@
     // The final attempt ended; late answers count as failures.
     void completed(size_t request, ResultCode, bool inTime, Microseconds startDelay);
     void cancelled(size_t request);
-    // Work that ended well on an instance, at the time of its start.
-    void executed(const std::string& kind, Microseconds startedAt, Microseconds runtime);
-    // Slots in service, for the guaranteed shares; to be called once in each sample interval.
-    void sampleSlots(const std::string& pool, uint32_t slots, Microseconds now);
+    // Slots of the pool and their use by a kind, for the guaranteed shares; to be called at equal intervals.
+    void sampleUse(const std::string& kind, uint32_t poolSlots, const KindUse&, Microseconds now);
 
     ReplayReport& report() { return report_; }
     ReplayReport finish();
 
 private:
-    // Windows of the guaranteed share.
+    // Slots that the guaranteed share entitled to, and those in use of them, summed over the samples of a second.
     struct Window {
-        double offeredSeconds = 0;
-        double doneSeconds = 0;
-        double slotSum = 0;
-        uint32_t slotSamples = 0;
+        double due = 0;
+        double kept = 0;
     };
 
+    void endedBadJob(size_t request, ResultCode);
     void count(size_t request, void (*change)(KindReport&, ResultCode), ResultCode);
-    Window& window(const std::string& kind, Microseconds at);
     double guaranteedKept(const std::string& kind, Microseconds from, Microseconds to) const;
     static void setDelays(KindReport&, std::vector<double>& delays);
 
--- a/shallotdrift/src/Replay/Outcomes.cpp
+++ b/shallotdrift/src/Replay/Outcomes.cpp
@@ -19,6 +19,12 @@
     constexpr KindMeasure kindMeasures[] = {
         { "in_time_share", [](const KindReport& kind) { return kind.inTimeShare(); } },
         { "guaranteed_kept", [](const KindReport& kind) { return kind.guaranteedKept; } },
+        { "cannot_run_answered_share",
+            [](const KindReport& kind) {
+                return kind.cannotRun
+                    ? static_cast<double>(kind.cannotRunAnswered) / static_cast<double>(kind.cannotRun)
+                    : 1;
+            } },
         { "start_delay_p50_ms", [](const KindReport& kind) { return kind.startDelayP50Milliseconds; } },
         { "start_delay_p99_ms", [](const KindReport& kind) { return kind.startDelayP99Milliseconds; } },
     };
--- a/shallotdrift/src/Replay/ReplayReport.cpp
+++ b/shallotdrift/src/Replay/ReplayReport.cpp
@@ -19,11 +19,18 @@
     return text;
 }
 
+static std::string badJobsText(const KindReport& kind)
+{
+    if (!kind.cannotRun)
+        return {};
+    return fmt::format(" ({} of {} bad jobs answered as failed)", kind.cannotRunAnswered, kind.cannotRun);
+}
+
 static void printKind(const std::string& name, const KindReport& kind, std::ostream& stream)
 {
-    stream << fmt::format("  {:<12} {:>8} {:>8.4f} {:>9.1f} {:>9.1f} {:>8.3f}  {}{}\n", name, kind.offered,
+    stream << fmt::format("  {:<12} {:>8} {:>8.4f} {:>9.1f} {:>9.1f} {:>8.3f}  {}{}{}\n", name, kind.offered,
         kind.inTimeShare(), kind.startDelayP50Milliseconds, kind.startDelayP99Milliseconds, kind.guaranteedKept,
-        codesText(kind.refusals), codesText(kind.failures));
+        codesText(kind.refusals), codesText(kind.failures), badJobsText(kind));
 }
 
 static void printHeading(const std::string& name, std::ostream& stream)
@@ -59,6 +66,7 @@
 static Json kindToJson(const KindReport& kind)
 {
     Json json { { "offered", kind.offered }, { "in_time", kind.inTime }, { "cancelled", kind.cancelled },
+        { "cannot_run", kind.cannotRun }, { "cannot_run_answered", kind.cannotRunAnswered },
         { "in_time_share", rounded(kind.inTimeShare()) },
         { "start_delay_p50_ms", rounded(kind.startDelayP50Milliseconds) },
         { "start_delay_p99_ms", rounded(kind.startDelayP99Milliseconds) },
--- a/shallotdrift/src/Replay/ReplayReport.h
+++ b/shallotdrift/src/Replay/ReplayReport.h
@@ -13,12 +13,14 @@
 
 // Requests of one kind, in one phase or in the whole trace.
 struct KindReport {
-    uint64_t offered = 0; // less those that their callers cancelled
+    uint64_t offered = 0; // less those that their callers cancelled and those that cannot run
     uint64_t inTime = 0;
     uint64_t cancelled = 0;
+    uint64_t cannotRun = 0; // jobs that fail on every instance
+    uint64_t cannotRunAnswered = 0; // of them, those whose caller was told that the work failed
     double startDelayP50Milliseconds = 0; // from arrival at the entry to the start on the instance
     double startDelayP99Milliseconds = 0;
-    // Work done, as part of what the guaranteed share entitles to: at most the offered work in each 5 s.
+    // Slots in use, as part of those that the guaranteed share entitles to; work that was refused counts as demand.
     double guaranteedKept = 1;
     std::map<ResultCode, uint64_t> refusals;
     std::map<ResultCode, uint64_t> failures; // other ends than in time
--- a/shallotdrift/src/Replay/Simulation.cpp
+++ b/shallotdrift/src/Replay/Simulation.cpp
@@ -117,11 +117,12 @@
     const auto& given = trace_.requests[number];
     auto& request = requests_[number];
     request.arrived = true;
+    ++uses_[given.kind].open;
     request.arrivedAt = queue_.now();
     request.deadline = queue_.now() + given.timeout;
     auto entry = liveEntry();
     if (!entry) {
-        request.ended = true;
+        endRequest(number);
         measures_.refused(number, ResultCode::NoInstance);
         return;
     }
@@ -186,11 +187,13 @@
     auto& report = measures_.report();
     report.endedTwice += request.ended ? 1 : 0;
     report.falseRefusals += request.runs ? 1 : 0;
-    request.ended = true;
-    if (request.cancelled)
+    endRequest(number);
+    if (request.cancelled) {
         measures_.cancelled(number);
-    else
-        measures_.refused(number, refusal.code);
+        return;
+    }
+    measures_.refused(number, refusal.code);
+    refusals_[trace_.requests[number].kind].push_back(queue_.now());
 }
 
 void Simulation::complete(uint32_t entry, const Completion& completion)
@@ -198,7 +201,7 @@
     size_t number = completion.request - 1;
     auto& request = requests_[number];
     measures_.report().endedTwice += request.ended ? 1 : 0;
-    request.ended = true;
+    endRequest(number);
     if (request.cancelled) {
         measures_.cancelled(number);
         return;
@@ -206,9 +209,21 @@
     const auto& attempt = attemptOf(entry, completion.attempt);
     bool inTime = completion.code == ResultCode::Ok && queue_.now() <= request.deadline;
     measures_.completed(number, completion.code, inTime, sinceStart(attempt.startedAt) - sinceStart(request.arrivedAt));
-    if (completion.code == ResultCode::Ok)
-        measures_.executed(
-            trace_.requests[number].kind, sinceStart(attempt.startedAt), trace_.requests[number].runtime);
+}
+
+void Simulation::endRequest(size_t number)
+{
+    if (!requests_[number].ended)
+        --uses_[trace_.requests[number].kind].open;
+    requests_[number].ended = true;
+}
+
+uint32_t Simulation::refusalsInSecond(const std::string& kind)
+{
+    auto& times = refusals_[kind];
+    while (!times.empty() && queue_.now() - times.front() > std::chrono::seconds(1))
+        times.pop_front();
+    return static_cast<uint32_t>(times.size());
 }
 
 void Simulation::closeAttempt(Attempt& attempt)
@@ -250,6 +265,7 @@
     const auto& given = trace_.requests[attempt.request];
     auto& request = requests_[attempt.request];
     ++instance.running;
+    ++uses_[given.kind].running;
     ++request.runs;
     if (request.runs > 1 && !trace_.configuration.kinds.at(given.kind).idempotent)
         ++measures_.report().doubleRuns;
@@ -268,6 +284,7 @@
 {
     auto& attempt = attemptOf(entry, number);
     auto& instance = *attempt.instance;
+    --uses_[trace_.requests[attempt.request].kind].running;
     bool lost = attempt.life != instance.life;
     if (!lost)
         --instance.running;
@@ -360,7 +377,7 @@
             auto& request = requests_[number];
             if (!request.arrived || request.ended || request.entry != i)
                 continue;
-            request.ended = true;
+            endRequest(number);
             measures_.completed(number, ResultCode::ConnectionLost, false, Microseconds { 0 });
         }
     }
@@ -421,10 +438,16 @@
         pool.slots += instance.shape.slots;
         pool.running += instances_.at(id).running;
     }
+    for (const auto& [name, kind] : trace_.configuration.kinds) {
+        auto& use = uses_[name];
+        use.refusedInSecond = refusalsInSecond(name);
+        measures_.sampleUse(name, pools[kind.pool].slots, use, sinceStart(queue_.now()));
+    }
     double seconds = std::chrono::duration<double>(sampleInterval).count();
     double utilization = trace_.configuration.lending.targetUtilization;
     for (const auto& [name, pool] : pools) {
-        measures_.sampleSlots(name, pool.slots, sinceStart(queue_.now()));
+        if (!pool.instances)
+            continue;
         double slotsEach = static_cast<double>(pool.slots) / pool.instances;
         double needed = std::min<double>(pool.instances, pool.running / slotsEach / utilization);
         measures_.report().neededInstanceSeconds += needed * seconds;
--- a/shallotdrift/src/Replay/Simulation.h
+++ b/shallotdrift/src/Replay/Simulation.h
@@ -77,6 +77,8 @@
     void loseEntries(const std::string& zone);
     void restoreEntries(const std::string& zone);
     void scheduleRefresh();
+    void endRequest(size_t request);
+    uint32_t refusalsInSecond(const std::string& kind);
     std::optional<uint32_t> liveEntry();
     Duration delay(const Entry&, const SimulatedInstance&) const;
     Attempt& attemptOf(uint64_t entry, uint64_t number) { return entries_[entry].attempts[number - 1]; }
@@ -90,6 +92,8 @@
     std::mt19937_64 random_;
     std::deque<Entry> entries_; // grows while references are in use
     std::vector<Request> requests_;
+    std::map<std::string, KindUse> uses_; // by kind
+    std::map<std::string, std::deque<Instant>> refusals_; // of the last second, by kind
 };
 
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Replay/TraceGenerator.cpp
+++ b/shallotdrift/src/Replay/TraceGenerator.cpp
@@ -113,6 +113,21 @@
         draft.seconds = at;
     }
 
+    // No order or length that could be learned.
+    void randomFloods(Draft& draft)
+    {
+        double at = 10;
+        for (int flood = 0; flood < 20; ++flood) {
+            double length = draft.sampler.between(6, 30);
+            auto number = static_cast<size_t>(draft.sampler.uniform() * static_cast<double>(draft.model.kinds.size()));
+            const auto& kind = draft.model.kinds[std::min(number, draft.model.kinds.size() - 1)];
+            draft.flood(kind.name, at, at + length);
+            at += length + draft.sampler.between(0, 15);
+        }
+        draft.phase("floods", 10, at);
+        draft.seconds = at;
+    }
+
     void bulkThenUrgent(Draft& draft)
     {
         draft.baseFactor = 1;
@@ -228,6 +243,7 @@
     constexpr Scenario scenarios[] = {
         { "queues-in-turn", queuesInTurn },
         { "short-floods-in-turn", shortFloodsInTurn },
+        { "random-floods", randomFloods },
         { "bulk-then-urgent", bulkThenUrgent },
         { "shared-bulk-then-urgent", sharedBulkThenUrgent },
         { "wave-during-floods", waveDuringFloods },
