Serve requests end to end over eight entry processes

Cause: the gate and the lease holder tell a process by its boot, which the core did not pass, so no instance was usable. Change: boot in both options; a stopping entry stops granting and leaves its gate only once its leases are unused; the removal of an entry waits for its leases too.

--- a/shallotdrift/src/Entry/Core.cpp
+++ b/shallotdrift/src/Entry/Core.cpp
@@ -13,15 +13,26 @@
 // The fold's time moves with the writers' stamps; keys expire by it.
 static constexpr Milliseconds timeStampInterval { 60000 };
 static constexpr Milliseconds gaugeInterval { 1000 };
+static constexpr Milliseconds leaseRenewInterval { 1000 };
 static constexpr double demandWorthSending = 0.01;
 
+static GateOptions gateOptions(const CoreContext& context)
+{
+    GateOptions options;
+    options.entry = context.settings.id;
+    options.zone = context.settings.zone;
+    options.leaseDuration = context.settings.viewLease;
+    options.boot = context.boot;
+    return options;
+}
+
 Core::Core(
     const EntrySettings& settings, uint64_t boot, CoreOutputs outputs, Metrics& metrics, SendPermissions& permissions)
     : context_ { settings, boot, std::move(outputs), metrics, permissions, {} }
     , proposals_(context_)
     , peers_(context_)
-    , gate_({ settings.id, settings.zone, settings.viewLease, Milliseconds(std::chrono::seconds(30)) })
-    , leases_(std::make_unique<ViewLeaseHolder>(ViewLeaseHolderOptions { settings.id, {} }))
+    , gate_(gateOptions(context_))
+    , leases_({ settings.id, settings.zone, leaseRenewInterval, boot })
     , requests_(context_, proposals_, peers_)
     , observer_(context_, proposals_, peers_)
     , operations_(context_, proposals_, peers_, gate_)
@@ -87,9 +98,6 @@
     case proto::PeerMessage::kHeartbeat:
         return peers_.heard(sender, message.sender_boot(), message.heartbeat(), now);
     case proto::PeerMessage::kViewLeaseRequest: {
-        // Only a member's acknowledgement is waited for, so only a member may grant.
-        if (!context_.member || context_.stopping)
-            return;
         auto lease = gate_.grant(sender, message.view_lease_request(), context_.state(), context_.fold.offset(), now);
         if (!lease)
             return;
@@ -99,7 +107,7 @@
         return context_.outputs.sendPeer(std::move(answer));
     }
     case proto::PeerMessage::kViewLease:
-        leases_->granted(sender, message.view_lease(), now);
+        leases_.granted(sender, message.view_lease(), now);
         return;
     case proto::PeerMessage::kSnapshotRequest:
         return keeper_.snapshotRequested(sender, message.snapshot_request(), now);
@@ -162,9 +170,6 @@
     bool member = !left_ && self != state.entries.end() && self->second.boot == context_.boot;
     if (member != context_.member) {
         context_.member = member;
-        // Only a member's own zone needs no lease: a move of the zone's instances waits for members alone.
-        leases_ = std::make_unique<ViewLeaseHolder>(
-            ViewLeaseHolderOptions { context_.settings.id, member ? context_.settings.zone : std::string() });
         logger("core")->info(
             member ? "joined the gate of zone {}" : "left the gate of zone {}", context_.settings.zone);
     }
@@ -207,7 +212,7 @@
     if (now >= nextHeartbeat_)
         heartbeat(now);
     auto inFlight = requests_.inFlightInstances();
-    for (auto& message : leases_->requests(context_.state(), context_.fold.offset(), inFlight, now))
+    for (auto& message : leases_.requests(context_.state(), context_.fold.offset(), inFlight, now))
         context_.outputs.sendPeer(std::move(message));
     auto demand = peers_.otherDemand(now);
     std::map<std::string, uint32_t> urgentSlots;
@@ -243,11 +248,11 @@
             continue;
         auto zone = zoneAllowed.find(instance.zone);
         if (zone == zoneAllowed.end())
-            zone = zoneAllowed.emplace(instance.zone, leases_->maySend(instance.zone, offset, now)).first;
+            zone = zoneAllowed.emplace(instance.zone, leases_.maySend(instance.zone, offset, now)).first;
         if (!zone->second)
             continue;
         usable.push_back({ id, instance.pool, instance.zone, instance.epoch, instance.shape.slots });
-        permissions[id] = { instance.epoch, leases_->validUntil(instance.zone, offset) };
+        permissions[id] = { instance.epoch, leases_.validUntil(instance.zone, offset) };
     }
     context_.permissions.replace(std::move(permissions));
     requests_.setInstances(usable, now);
@@ -291,6 +296,7 @@
 void Core::beginStop()
 {
     context_.stopping = true;
+    gate_.stopGranting();
     ready_ = false;
     logger("core")->info("stopping; {} requests are open", requests_.openRequests());
 }
@@ -309,6 +315,10 @@
     proposals_.propose(std::move(record), "planned stop");
 }
 
-bool Core::idle() const { return requests_.openRequests() == 0 && requests_.inFlightInstances().empty(); }
+bool Core::idle() const
+{
+    // Nobody waits for the leases of an entry that is no member, so it leaves only when none is in use.
+    return requests_.openRequests() == 0 && requests_.inFlightInstances().empty() && gate_.released(BootClock::now());
+}
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Entry/Core.h
+++ b/shallotdrift/src/Entry/Core.h
@@ -70,7 +70,7 @@
     Proposals proposals_;
     PeerDirectory peers_;
     Gate gate_;
-    std::unique_ptr<ViewLeaseHolder> leases_;
+    ViewLeaseHolder leases_;
     RequestService requests_;
     FleetObserver observer_;
     OperationDriver operations_;
--- a/shallotdrift/src/Entry/EntryProcess.cpp
+++ b/shallotdrift/src/Entry/EntryProcess.cpp
@@ -239,7 +239,6 @@
 {
     if (!running_)
         return;
-    Instant begin = BootClock::now();
     onCore([this] { core_.beginStop(); });
     callers_.beginDrain();
     std::this_thread::sleep_for(settings_.stopGrace);
@@ -251,13 +250,11 @@
             return coreIdle && !callers_.openRequests();
         },
         settings_.stopLimit);
-    if (!idle)
-        logger("core")->warn("{} requests did not end within the stop limit", callers_.openRequests());
-    // View leases that this entry granted must lapse while it still holds back acknowledgements for its zone.
-    auto elapsed = BootClock::now() - begin;
-    if (elapsed < settings_.viewLease)
-        std::this_thread::sleep_for(settings_.viewLease - elapsed);
-    onCore([this] { core_.leave(); });
+    // An entry that cannot tell that its leases are unused stays a member; it is removed once the list shows it gone.
+    if (idle)
+        onCore([this] { core_.leave(); });
+    else
+        logger("core")->warn("stop limit reached with {} open requests or leases in use", callers_.openRequests());
     if (!writer_.flush(leaveTimeout))
         logger("core")->warn("the log did not take the last records in time");
     stopThreads();
--- a/shallotdrift/src/Entry/FleetObserver.cpp
+++ b/shallotdrift/src/Entry/FleetObserver.cpp
@@ -1,5 +1,7 @@
 #include "FleetObserver.h"
 
+#include "../Peers/Gate.h"
+
 #include <fmt/format.h>
 
 namespace shallotdrift {
@@ -8,12 +10,20 @@
 static constexpr Milliseconds targetAbsence { 500 };
 // An entry is removed only after the list's lag, assumed below 10 s, cannot explain its absence. Removing a running
 // entry from its gate would let its instances be moved while it still sends to them.
-static constexpr Milliseconds entryAbsence { 15000 };
+static constexpr Milliseconds listLag { 10000 };
 static constexpr Milliseconds entrySettling { 30000 };
 static constexpr uint32_t minimumAbsentLists = 2;
 // A proposal that has not taken effect is repeated after this time.
 static constexpr Milliseconds repeatInterval { 3000 };
 
+// The leases that the entry granted must have lapsed too, since nobody waits for them once it is removed.
+static Duration entryAbsence(const EntrySettings& settings)
+{
+    GateOptions options;
+    options.leaseDuration = settings.viewLease;
+    return std::max<Duration>(listLag, Gate::removalDelay(options));
+}
+
 FleetObserver::FleetObserver(CoreContext& context, Proposals& proposals, PeerDirectory& peers)
     : context_(context)
     , proposals_(proposals)
@@ -120,7 +130,7 @@
         }
         if (id == context_.settings.id || peers_.isLive(id, now))
             continue;
-        if (!goneFor(id, entryAbsence, now) || now - since < entrySettling)
+        if (!goneFor(id, entryAbsence(context_.settings), now) || now - since < entrySettling)
             continue;
         if (!mayPropose(fmt::format("entry {}/{}", id, member.boot), now))
             continue;
