Report the same outcome for a repeated change, and shorten the output

A repeated lending change listed the accepted moves alone, so a change that was met in part looked complete the second time. Lines of 200 characters wrapped on terminals and hid the result.

The outcome of an earlier call is built from the moves and waves that carry its id, with the part that was not possible. Long texts stand below their row. A lack of lenders names the busy rack (409) when the budget is not the reason.

--- a/shallotdrift/src/Operators/ChangeOutcome.cpp
+++ b/shallotdrift/src/Operators/ChangeOutcome.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <set>
 
 namespace shallotdrift::internal {
 
@@ -104,39 +103,6 @@
     return reply;
 }
 
-std::optional<proto::ChangeReply> outcomeFromAudit(const std::string& changeId, const FleetState& state)
-{
-    const auto prefix = reasonPrefix(changeId);
-    std::vector<const AuditEvent*> events;
-    for (const auto& event : state.audit) {
-        if (event.reason.compare(0, prefix.size(), prefix) == 0)
-            events.push_back(&event);
-    }
-    // Copies of an accepted record that arrived through another entry instance are refused and say nothing new.
-    auto restatesAccepted = [&](const AuditEvent& event) {
-        return event.code != ResultCode::Ok && std::any_of(events.begin(), events.end(), [&](const AuditEvent* other) {
-            return other->code == ResultCode::Ok && other->action == event.action
-                && (other->subject == event.subject || event.code == ResultCode::DuplicateRecord);
-        });
-    };
-    proto::ChangeReply reply;
-    reply.set_change_id(changeId);
-    for (const auto* event : events) {
-        if (restatesAccepted(*event))
-            continue;
-        auto& step = *reply.add_steps();
-        step.set_action(event->subject + ": " + event->action);
-        step.set_result_code(static_cast<uint32_t>(event->code));
-        step.set_message(textOf({ event->code, event->figures }));
-        reply.set_offset(std::max<uint64_t>(reply.offset(), event->offset));
-    }
-    if (!reply.steps_size())
-        return std::nullopt;
-    summarize(reply);
-    reply.set_message(reply.message() + "; this change id was used before, nothing was done again");
-    return reply;
-}
-
 proto::ChangeReply outcomeOf(const std::string& changeId, const std::vector<PlannedStep>& steps,
     const std::vector<FoldedRecord>& verdicts, const FleetState& state)
 {
--- a/shallotdrift/src/Operators/ChangeOutcome.h
+++ b/shallotdrift/src/Operators/ChangeOutcome.h
@@ -3,7 +3,6 @@
 #include "../Fold/Fold.h"
 #include "StepPlanner.h"
 
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,9 +11,6 @@
 // Whether the state already holds what the record asks for, because an earlier copy of the same change was accepted.
 bool isInForce(const proto::Record&, const FleetState&);
 
-// Steps of an earlier call with the same change id, from the audit trail. Empty when there was none.
-std::optional<proto::ChangeReply> outcomeFromAudit(const std::string& changeId, const FleetState&);
-
 // Reply to a change of which nothing was submitted.
 proto::ChangeReply refusal(const std::string& changeId, ResultCode, const std::string& message);
 
--- a/shallotdrift/src/Operators/ChangeRunner.cpp
+++ b/shallotdrift/src/Operators/ChangeRunner.cpp
@@ -34,8 +34,10 @@
             });
             if (!looked)
                 return fail(ResultCode::Stopping, "this entry instance is stopping; ask another one");
-            if (known)
+            if (known) {
+                known->set_message(known->message() + "; this change id was used before, nothing was done again");
                 return *known;
+            }
             return submit(changeId, plan(checked));
         },
         [&](const Error& error) { return refusal(changeId, error.code, error.message); });
--- a/shallotdrift/src/Operators/ChangeRunner.h
+++ b/shallotdrift/src/Operators/ChangeRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ChangeOutcome.h"
+#include "EarlierOutcome.h"
 #include "OperatorHandler.h"
 
 #include <functional>
@@ -23,7 +24,7 @@
     ChangeRunner(EntryAccess&, Milliseconds timeout);
 
     proto::ChangeReply run(
-        const proto::Change&, const Look&, const Plan&, const KnownOutcome& knownOutcome = outcomeFromAudit);
+        const proto::Change&, const Look&, const Plan&, const KnownOutcome& knownOutcome = earlierOutcome);
     // Submits the records of the steps and reports every step.
     proto::ChangeReply submit(const std::string& changeId, const std::vector<PlannedStep>&);
 
--- a/shallotdrift/src/Operators/HandbookInvocation.cpp
+++ b/shallotdrift/src/Operators/HandbookInvocation.cpp
@@ -27,6 +27,23 @@
     return steps == 0;
 }
 
+std::optional<proto::ChangeReply> HandbookInvocation::outcomeOfInvocation(
+    const std::string& changeId, const FleetState& state)
+{
+    auto outcome = earlierOutcome(changeId, state);
+    auto invocation = state.invocations.find(changeId);
+    if (!outcome || invocation == state.invocations.end())
+        return outcome;
+    auto entry = state.handbooks.find(invocation->second.name);
+    if (entry == state.handbooks.end() || entry->second.approvedVersion != invocation->second.version)
+        return outcome;
+    if (auto plan = parseHandbook(entry->second.approvedIni, "handbook")) {
+        for (size_t i = 0; i < plan->steps.size(); ++i)
+            addRemainder(plan->steps[i], fmt::format("{}.s{}", changeId, i + 1), *outcome);
+    }
+    return outcome;
+}
+
 void HandbookInvocation::look(const FleetState& state, const proto::InvokeRequest& request)
 {
     auto entry = state.handbooks.find(request.name());
@@ -49,7 +66,7 @@
 proto::ChangeReply HandbookInvocation::run(const proto::InvokeRequest& request)
 {
     auto known = [](const std::string& changeId, const FleetState& state) {
-        return wasInterrupted(changeId, state) ? std::nullopt : outcomeFromAudit(changeId, state);
+        return wasInterrupted(changeId, state) ? std::nullopt : outcomeOfInvocation(changeId, state);
     };
     std::optional<OperatorChange> change;
     auto planInvocation = [&](const OperatorChange& checked) -> std::vector<PlannedStep> {
--- a/shallotdrift/src/Operators/HandbookInvocation.h
+++ b/shallotdrift/src/Operators/HandbookInvocation.h
@@ -14,6 +14,7 @@
 private:
     // The invocation was recorded but its entry instance stopped before it submitted a step.
     static bool wasInterrupted(const std::string& changeId, const FleetState&);
+    static std::optional<proto::ChangeReply> outcomeOfInvocation(const std::string& changeId, const FleetState&);
     proto::ChangeReply submitSteps(const OperatorChange&);
     void look(const FleetState&, const proto::InvokeRequest&);
 
--- a/shallotdrift/src/Operators/OperatorCommands.cpp
+++ b/shallotdrift/src/Operators/OperatorCommands.cpp
@@ -232,8 +232,12 @@
 struct Command {
     CommandSyntax syntax;
     Result<unsigned> (*run)(const CommandContext&);
+    std::string_view next = {}; // what follows an accepted change; {} stands for its id
 };
 
+static constexpr std::string_view watchChange = "explain change {} tells how far it is, status shows the fleet";
+static constexpr std::string_view askReviewer = "another operator reads handbook show and runs handbook review";
+
 static const std::vector<Command>& commands()
 {
     using F = ValueForm;
@@ -262,7 +266,7 @@
               { { "file", F::path(), true, "text of the entry" },
                   { "expected", F::whole(0, maximumVersion), false, "newest version so far; 0 for a new entry" } },
               "propose a version of an entry for review" },
-            runHandbookPropose },
+            runHandbookPropose, askReviewer },
         { { "handbook review",
               { name, { "version", F::whole(1, maximumVersion), true, "version that was read" },
                   { "decision", F::choice({ "approve", "reject" }), true, "approve or reject" } },
@@ -270,27 +274,28 @@
             runHandbookReview },
         { { "handbook rehearse", { name, optionalVersion }, {}, "what invoke would do now, without doing it" },
             runHandbookRehearse },
-        { { "handbook invoke", { name, optionalVersion }, {}, "run the approved version" }, runHandbookInvoke },
+        { { "handbook invoke", { name, optionalVersion }, {}, "run the approved version" }, runHandbookInvoke,
+            watchChange },
         { { "lend", {},
               { { "to", F::name(), true, "pool that borrows" },
                   { "count", F::whole(1, 1000, "instances"), true, "instances to lend" },
                   { "from", F::name(), false, "pool that lends; any pool when not given, the spare pool first" } },
               "lend instances to a pool" },
-            runLend },
+            runLend, watchChange },
         { { "return", {}, { { "pool", F::name(), false, "pool that borrowed; all pools when not given" } },
               "return lent instances to their home pools" },
-            runReturn },
+            runReturn, watchChange },
         { { "drain", {},
               { { "zone", F::name(), false, "zone to drain" },
                   { "instances", F::text(), false, "instances to drain, separated by commas" } },
               "take a zone or instances out of service until the drain is aborted" },
-            runDrain },
+            runDrain, watchChange },
         { { "wave start", {},
               { { "zone", F::name(), false, "zone of the wave" }, { "pool", F::name(), false, "pool of the wave" },
                   { "all", F::yesNo(), false, "the whole fleet" },
                   { "max-parallel", F::whole(0, 1000, "instances"), false, "instances under way at once" } },
               "start a maintenance wave" },
-            runWaveStart },
+            runWaveStart, watchChange },
         { { "wave pause", { wave }, {}, "take no further instances" },
             [](const CommandContext& context) { return changeWave(context, "pause"); } },
         { { "wave resume", { wave }, {}, "go on with a paused wave" },
@@ -355,7 +360,10 @@
         return fail(ResultCode::InvalidCommand, "unknown command; known commands are\n" + operatorCommandHelp());
     auto nameWords = static_cast<std::ptrdiff_t>(wordCount(command->syntax.name));
     BOOST_LEAF_AUTO(parsed, CommandWords::parse(command->syntax, { words.begin() + nameWords, words.end() }));
-    return command->run({ parsed, options, changeId, output, errors });
+    BOOST_LEAF_AUTO(code, command->run({ parsed, options, changeId, output, errors }));
+    if (!code && !options.json && !command->next.empty())
+        output << "next: " << fmt::format(fmt::runtime(command->next), changeId) << "\n";
+    return code;
 }
 
 unsigned runOperatorCommand(const std::vector<std::string>& words, const OperatorCommandOptions& options,
--- a/shallotdrift/src/Operators/OperatorHandler.cpp
+++ b/shallotdrift/src/Operators/OperatorHandler.cpp
@@ -55,7 +55,13 @@
     std::optional<FoldTrial> trial;
     return runner.run(
         change, [&](const FleetState& state) { trial.emplace(state); },
-        [&](const OperatorChange& checked) { return StepPlanner(*trial, checked, {}).plan(step, checked.id); });
+        [&](const OperatorChange& checked) { return StepPlanner(*trial, checked, {}).plan(step, checked.id); },
+        [&](const std::string& changeId, const FleetState& state) {
+            auto outcome = internal::earlierOutcome(changeId, state);
+            if (outcome)
+                internal::addRemainder(step, changeId, *outcome);
+            return outcome;
+        });
 }
 
 OperatorHandler::OperatorHandler(EntryAccess& entry, Milliseconds submitTimeout)
--- a/shallotdrift/src/Operators/OperatorServer.cpp
+++ b/shallotdrift/src/Operators/OperatorServer.cpp
@@ -152,7 +152,8 @@
             return fail(ResultCode::InvalidSettings,
                 fmt::format("operator listener {}: the address cannot be used", options_.listenAddress));
         if (usesTls(options_))
-            logger("operators")->info("listening on {} (port {}), operators need a client certificate", options_.listenAddress, port_);
+            logger("operators")
+                ->info("listening on {} (port {}), operators need a client certificate", options_.listenAddress, port_);
         else
             logger("operators")
                 ->warn("listening on {} without TLS: only processes of this machine can connect, and they "
--- a/shallotdrift/src/Operators/ReplyText.cpp
+++ b/shallotdrift/src/Operators/ReplyText.cpp
@@ -68,21 +68,32 @@
 
 static std::string orDash(const std::string& text) { return text.empty() ? "-" : text; }
 
+// The figures of an accepted step say nothing that status does not show.
+static std::string noteOf(const proto::Step& step)
+{
+    static constexpr std::string_view accepted = "accepted";
+    bool plain = !step.result_code() && step.message().compare(0, accepted.size(), accepted) == 0;
+    return plain ? std::string() : step.message();
+}
+
 static void printSteps(const google::protobuf::RepeatedPtrField<proto::Step>& steps, std::ostream& output)
 {
-    TextTable table({ "RESULT", "STEP", "ID", "MESSAGE" });
+    TextTable table({ "RESULT", "STEP", "ID" });
     for (const auto& step : steps)
-        table.addRow({ resultText(step.result_code()), step.action(), orDash(step.id()), step.message() });
+        table.addRow({ resultText(step.result_code()), step.action(), orDash(step.id()) }, noteOf(step));
     if (!table.empty())
         table.print(output);
 }
 
 static void printEvents(const google::protobuf::RepeatedPtrField<proto::AuditLine>& events, std::ostream& output)
 {
-    TextTable table({ "TIME", "OFFSET", "WHO", "SUBJECT", "ACTION", "RESULT", "REASON", "FIGURES" });
-    for (const auto& event : events)
+    TextTable table({ "TIME", "OFFSET", "WHO", "SUBJECT", "ACTION", "RESULT" });
+    for (const auto& event : events) {
+        auto separator = event.reason().empty() || event.figures().empty() ? "" : ": ";
         table.addRow({ timeText(event.written_ms()), std::to_string(event.offset()), event.actor(), event.subject(),
-            event.action(), resultText(event.result_code()), orDash(event.reason()), orDash(event.figures()) });
+                         event.action(), resultText(event.result_code()) },
+            event.reason() + separator + event.figures());
+    }
     if (!table.empty())
         table.print(output);
 }
@@ -93,9 +104,6 @@
     if (reply.offset())
         output << fmt::format("recorded up to offset {}\n", reply.offset());
     printSteps(reply.steps(), output);
-    if (!reply.result_code())
-        output << fmt::format(
-            "next: explain change {} tells how far it is; status shows the fleet\n", printableText(reply.change_id()));
 }
 
 static void printPools(const proto::StatusReply& reply, std::ostream& output)
--- a/shallotdrift/src/Operators/StepPlanner.cpp
+++ b/shallotdrift/src/Operators/StepPlanner.cpp
@@ -79,13 +79,16 @@
     return {};
 }
 
-static std::string lackOfLenders(const HandbookStep& step, const FleetState& state)
+static Verdict lackOfLenders(const HandbookStep& step, const FleetState& state)
 {
     if (step.fromPool.empty())
-        return "no pool has an instance that planned work may take now";
+        return { ResultCode::BudgetExceeded, "no pool has an instance that planned work may take now" };
     auto figures = figuresOfPools(state).at(step.fromPool);
-    return fmt::format("pool {}: {} available, minimum {}; planned work takes one rack of a pool at a time",
-        step.fromPool, figures.available, figures.minimum);
+    auto text = fmt::format("pool {}: {} available, minimum {}", step.fromPool, figures.available, figures.minimum);
+    if (!figures.allowsPlannedWork())
+        return { ResultCode::BudgetExceeded, text };
+    return { ResultCode::FailureDomainBusy,
+        text + "; planned work takes one rack of a pool at a time, so ask for the rest once its moves have ended" };
 }
 
 std::vector<PlannedStep> StepPlanner::planLend(const HandbookStep& step, const std::string& idPrefix) const
@@ -104,10 +107,12 @@
         if (steps.back().expected.code != ResultCode::Ok)
             break;
     }
-    if (steps.size() < step.count)
+    if (steps.size() < step.count) {
+        auto lack = lackOfLenders(step, trial_.state());
         steps.push_back(PlannedStep::refused(
-            fmt::format("lend {} more from {} to {}", step.count - steps.size(), from, step.toPool),
-            ResultCode::BudgetExceeded, lackOfLenders(step, trial_.state())));
+            fmt::format("lend {} more from {} to {}", step.count - steps.size(), from, step.toPool), lack.code,
+            lack.figures));
+    }
     return steps;
 }
 
--- a/shallotdrift/src/Operators/TextTable.cpp
+++ b/shallotdrift/src/Operators/TextTable.cpp
@@ -6,6 +6,14 @@
 namespace shallotdrift::internal {
 
 static constexpr size_t columnGap = 2;
+static constexpr size_t noteIndent = 6;
+
+static std::string singleLine(std::string_view text)
+{
+    auto line = printableText(text);
+    std::replace(line.begin(), line.end(), '\n', ' ');
+    return line;
+}
 
 std::string printableText(std::string_view text)
 {
@@ -28,16 +36,19 @@
     return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
-TextTable::TextTable(std::vector<std::string> titles) { rows_.push_back(std::move(titles)); }
+TextTable::TextTable(std::vector<std::string> titles)
+    : rows_ { std::move(titles) }
+    , notes_(1)
+{
+}
 
-void TextTable::addRow(std::vector<std::string> cells)
+void TextTable::addRow(std::vector<std::string> cells, std::string note)
 {
     cells.resize(rows_.front().size());
-    for (auto& cell : cells) {
-        cell = printableText(cell);
-        std::replace(cell.begin(), cell.end(), '\n', ' ');
-    }
+    for (auto& cell : cells)
+        cell = singleLine(cell);
     rows_.push_back(std::move(cells));
+    notes_.push_back(singleLine(note));
 }
 
 void TextTable::print(std::ostream& output) const
@@ -50,7 +61,8 @@
             numeric[i] = numeric[i] && (row == 0 || isNumber(rows_[row][i]));
         }
     }
-    for (const auto& row : rows_) {
+    for (size_t rowIndex = 0; rowIndex < rows_.size(); ++rowIndex) {
+        const auto& row = rows_[rowIndex];
         std::string line;
         for (size_t i = 0; i < row.size(); ++i) {
             std::string padding(widths[i] - widthOf(row[i]), ' ');
@@ -58,6 +70,8 @@
         }
         line.erase(line.find_last_not_of(' ') + 1);
         output << line << "\n";
+        if (!notes_[rowIndex].empty())
+            output << std::string(noteIndent, ' ') << notes_[rowIndex] << "\n";
     }
 }
 
--- a/shallotdrift/src/Operators/TextTable.h
+++ b/shallotdrift/src/Operators/TextTable.h
@@ -15,12 +15,14 @@
 public:
     explicit TextTable(std::vector<std::string> titles);
 
-    void addRow(std::vector<std::string> cells);
+    // The note is printed below the row, so that long texts do not widen the table.
+    void addRow(std::vector<std::string> cells, std::string note = {});
     bool empty() const { return rows_.size() == 1; }
     void print(std::ostream&) const;
 
 private:
     std::vector<std::vector<std::string>> rows_; // the first one holds the titles
+    std::vector<std::string> notes_; // of the rows
 };
 
 } // namespace shallotdrift::internal
