--- a/shallotdrift/src/Operators/TextTable.cpp
+++ b/shallotdrift/src/Operators/TextTable.cpp
@@ -42,7 +42,7 @@
 {
 }
 
-void TextTable::addRow(std::vector<std::string> cells, std::string note)
+void TextTable::addRow(std::vector<std::string> cells, const std::string& note)
 {
     cells.resize(rows_.front().size());
     for (auto& cell : cells)
--- a/shallotdrift/src/Operators/TextTable.h
+++ b/shallotdrift/src/Operators/TextTable.h
@@ -16,7 +16,7 @@
     explicit TextTable(std::vector<std::string> titles);
 
     // The note is printed below the row, so that long texts do not widen the table.
-    void addRow(std::vector<std::string> cells, std::string note = {});
+    void addRow(std::vector<std::string> cells, const std::string& note = {});
     bool empty() const { return rows_.size() == 1; }
     void print(std::ostream&) const;
 
--- /dev/null
+++ b/test/DocumentsTest.cpp
@@ -0,0 +1,109 @@
+#include "Story.h"
+
+#include "shallotdrift/Base.h"
+#include "shallotdrift/Operators.h"
+#include "shallotdrift/Settings.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+
+namespace shallotdrift {
+
+class DocumentsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DocumentsTest);
+    CPPUNIT_TEST(configurationPageListsTheTables);
+    CPPUNIT_TEST(resultCodePageListsTheTable);
+    CPPUNIT_TEST(guideNamesCommandsThatExist);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string read(const std::string& path)
+    {
+        std::ifstream file(path);
+        return { std::istreambuf_iterator<char>(file), {} };
+    }
+
+    // Rows of all tables whose lines start with the prefix.
+    static size_t countLines(const std::string& text, const std::string& prefix)
+    {
+        std::istringstream lines(text);
+        size_t count = 0;
+        for (std::string line; std::getline(lines, line);)
+            count += line.compare(0, prefix.size(), prefix) == 0 ? 1 : 0;
+        return count;
+    }
+
+public:
+    // Guards against a reference that lacks a key or states another range or default than the parser uses.
+    void configurationPageListsTheTables()
+    {
+        const auto page = read("docs/configuration.md");
+        const auto rows = settingsReference();
+        size_t position = 0;
+        std::string previous;
+        for (const auto& row : rows) {
+            Section section(row.file + " " + row.section + " " + row.key);
+            if (row.file + row.section != previous) {
+                previous = row.file + row.section;
+                position = page.find("\n### `" + row.section + "`\n", position);
+                CPPUNIT_ASSERT(position != std::string::npos);
+            }
+            auto line = fmt::format("\n| `{}` | {} | {} | {} |\n", row.key, row.allowed, row.defaultValue, row.meaning);
+            auto found = page.find(line, position);
+            CPPUNIT_ASSERT_MESSAGE(line, found != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE(line, page.find("\n### ", position + 1) > found);
+        }
+        CPPUNIT_ASSERT_EQUAL(rows.size(), countLines(page, "| `"));
+    }
+
+    // Guards against codes that scripts and operators look up in vain.
+    void resultCodePageListsTheTable()
+    {
+        const auto page = read("docs/result-codes.md");
+        std::string table = "| code | execution | name | meaning |\n|---|---|---|---|\n";
+        for (const auto& info : resultCodeTable())
+            table += fmt::format("| {} | {} | `{}` | {} |\n", static_cast<unsigned>(info.code), nameOf(info.execution),
+                info.name, info.text);
+        CPPUNIT_ASSERT(page.size() >= table.size());
+        CPPUNIT_ASSERT_EQUAL(table, page.substr(page.size() - table.size()));
+    }
+
+    // Guards against a guide that tells a tired operator to run a command that does not exist.
+    void guideNamesCommandsThatExist()
+    {
+        const auto help = operatorCommandHelp();
+        std::istringstream lines(read("docs/operators-guide.md"));
+        static const std::string prefix = "    shallotdrift ";
+        size_t commands = 0;
+        for (std::string line; std::getline(lines, line);) {
+            if (line.compare(0, prefix.size(), prefix) != 0)
+                continue;
+            Section section(line);
+            ++commands;
+            std::istringstream words(line.substr(prefix.size()));
+            std::string first;
+            std::string second;
+            words >> first >> second;
+            if (!isOperatorCommand(first)) {
+                CPPUNIT_ASSERT(first == "check-config" || first == "codes" || first == "help");
+                continue;
+            }
+            bool single = help.find("  " + first + "\n") != std::string::npos
+                || help.find("  " + first + " -") != std::string::npos
+                || help.find("  " + first + " [-") != std::string::npos || first == "explain";
+            CPPUNIT_ASSERT(single || help.find("  " + first + " " + second) != std::string::npos);
+            for (std::string word = second; !word.empty(); word.clear(), words >> word) {
+                if (word.compare(0, 2, "--") == 0 && word.find("--change_id") != 0 && word.find("--entries") != 0)
+                    CPPUNIT_ASSERT_MESSAGE(word, help.find(word.substr(0, word.find('=') + 1)) != std::string::npos);
+            }
+        }
+        CPPUNIT_ASSERT(commands >= 15);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DocumentsTest);
+
+} // namespace shallotdrift
