--- a/shallotdrift/src/Policy/FloodModel.cpp
+++ b/shallotdrift/src/Policy/FloodModel.cpp
@@ -5,15 +5,18 @@
 
 namespace shallotdrift::internal {
 
-static constexpr double fallSeconds = 2;
-static constexpr double recentFallSeconds = 10;
+static constexpr double smoothingSeconds = 2;
+static constexpr double noise = 0.3; // of the demand
+static constexpr double recentSmoothingSeconds = 10;
 // A flood ends when demand stays below this part of the home slots; the gap to its start is the hysteresis.
 static constexpr double endFraction = 0.5;
 static constexpr Duration endAfter = std::chrono::seconds(2);
 static constexpr double learningWeight = 0.3; // of the newest flood
 // Duration assumed before the first flood of a pool has ended.
 static constexpr double unknownFloodSeconds = 20;
-static constexpr uint32_t floodsBeforePrediction = 2;
+// One is enough: a wrong guess costs a few moves of unused instances, and a flood that is met unprepared loses work
+// for the time of a move.
+static constexpr uint32_t floodsBeforePrediction = 1;
 static constexpr double confidenceNeeded = 0.7;
 // A start that scatters by more than this part of the gap is not worth moving instances for.
 static constexpr double regularityNeeded = 0.4;
@@ -24,7 +27,8 @@
 
 static double smoothed(double old, double value, double seconds, double timeConstant)
 {
-    if (value >= old)
+    // A small rise is noise of the arrivals and is averaged; a large one is the start of a flood.
+    if (value > old * (1 + noise))
         return value;
     return value + (old - value) * std::exp(-std::max(0.0, seconds) / timeConstant);
 }
@@ -36,8 +40,8 @@
     auto& pool = pools_[name];
     double seconds = secondsBetween(pool.updatedAt, now);
     pool.updatedAt = now;
-    pool.current = smoothed(pool.current, demandSlots, seconds, fallSeconds);
-    pool.recent = smoothed(pool.recent, demandSlots, seconds, recentFallSeconds);
+    pool.current = smoothed(pool.current, demandSlots, seconds, smoothingSeconds);
+    pool.recent = smoothed(pool.recent, demandSlots, seconds, recentSmoothingSeconds);
     if (demandSlots >= homeSlots * endFraction)
         pool.belowSince = now;
     if (!pool.flooded && demandSlots > homeSlots)
