--- a/test/FoldLog.h
+++ b/test/FoldLog.h
@@ -12,6 +12,9 @@
 
 namespace shallotdrift {
 
+// A handbook entry that parses.
+inline constexpr const char* returnHandbook = "[handbook]\ntitle = Return\nwhen = always\n[step 1]\naction = return\n";
+
 // Texts of configurations for the tests, in the format of the Settings module.
 struct TestFleet {
     std::vector<std::string> zones { "north", "south" };
--- a/test/FoldPropertiesTest.cpp
+++ b/test/FoldPropertiesTest.cpp
@@ -87,7 +87,7 @@
             record.mutable_handbook_proposed()->set_name(pick({ "h1", "h2", "" }));
             record.mutable_handbook_proposed()->set_expected_version(number() % 3);
             record.mutable_handbook_proposed()->set_author(text());
-            return record.mutable_handbook_proposed()->set_ini(pick({ "[step 1]", "x" }));
+            return record.mutable_handbook_proposed()->set_ini(pick({ returnHandbook, "x" }));
         case 5:
             record.mutable_handbook_reviewed()->set_name(pick({ "h1", "h2" }));
             record.mutable_handbook_reviewed()->set_version(number() % 3);
--- a/test/FoldRecordsTest.cpp
+++ b/test/FoldRecordsTest.cpp
@@ -28,7 +28,7 @@
         return record;
     }
 
-    static ResultCode propose(FoldLog& log, uint64_t expected, const std::string& ini = "[step 1]")
+    static ResultCode propose(FoldLog& log, uint64_t expected, const std::string& ini = returnHandbook)
     {
         proto::Record record;
         auto& body = *record.mutable_handbook_proposed();
--- a/test/SnapshotTest.cpp
+++ b/test/SnapshotTest.cpp
@@ -63,7 +63,7 @@
         addKey(log, 2);
         proto::Record handbook;
         handbook.mutable_handbook_proposed()->set_name("flood-lend");
-        handbook.mutable_handbook_proposed()->set_ini("[step 1]");
+        handbook.mutable_handbook_proposed()->set_ini(returnHandbook);
         handbook.mutable_handbook_proposed()->set_author("ana");
         ASSERT_OK(log.add(handbook).verdict.code);
         return log;
