--- a/test/FoldLog.h
+++ b/test/FoldLog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "TestFleet.h"
+
 #include "shallotdrift/Fold.h"
 
 #include <cppunit/TestAssert.h>
@@ -12,29 +14,6 @@
 
 namespace shallotdrift {
 
-// Texts of configurations for the tests, in the format of the Settings module.
-struct TestFleet {
-    std::vector<std::string> zones { "north", "south" };
-    std::map<std::string, uint32_t> pools { { "reports", 1 }, { "accounts", 0 } }; // with their minimums
-    int64_t keyWindowMilliseconds = 900000;
-
-    std::string ini() const
-    {
-        std::string text;
-        for (const auto& zone : zones)
-            text += fmt::format("[zone {}]\nregion = home\n", zone);
-        for (const auto& [pool, minimum] : pools)
-            text += fmt::format(
-                "[pool {}]\nminimum_available = {}\nspare = {}\n", pool, minimum, pool == "accounts" ? "yes" : "no");
-        const auto& pool = pools.begin()->first;
-        text += fmt::format("[kind issue]\npool = {}\nidempotent = no\n", pool);
-        text += fmt::format("[kind check]\npool = {}\nurgency = urgent\n", pool);
-        text += fmt::format("[kind ledger]\npool = {}\nlong_running = yes\nurgency = bulk\n", pool);
-        text += "[team surveyors]\nslot_quota = 8\n";
-        return text + fmt::format("[timing]\nkey_window_ms = {}\n", keyWindowMilliseconds);
-    }
-};
-
 // A fold with the log that led to it. Each record is an entry of the log of its own, written by "e1" unless set.
 class FoldLog {
 public:
