Keep places under planned work fixed and share record builders between the tests

Cause: a changed rack during planned work let work run on two racks of a pool, and a boot could change its zone and with it the gate of closings under way. The tests repeated the building of records. Change: InstanceObserved keeps zone and rack while work is under way, a joined boot keeps its zone, lost instances under work count for the rack rule, and invocations show their id in the audit trail. test/Records.h builds the records for all tests of the fold.

--- a/shallotdrift/src/Fold/EntryHandlers.cpp
+++ b/shallotdrift/src/Fold/EntryHandlers.cpp
@@ -35,8 +35,11 @@
     const auto* window = data.writers.find(join.entry(), join.boot());
     if (window && window->replaced)
         return refused(ResultCode::StaleEpoch, "a newer boot of the entry has joined");
-    bool known = data.state.entries.count(join.entry()) > 0;
-    if (!known && data.state.entries.size() >= maximumEntries)
+    auto known = data.state.entries.find(join.entry());
+    bool isMember = known != data.state.entries.end();
+    if (isMember && known->second.boot == join.boot() && known->second.zone != join.zone())
+        return refused(ResultCode::Conflict, "the boot has joined in zone " + known->second.zone);
+    if (!isMember && data.state.entries.size() >= maximumEntries)
         return refused(ResultCode::TooLarge, fmt::format("{} entries are members", maximumEntries));
     return accepted();
 }
--- a/shallotdrift/src/Fold/HandbookHandlers.cpp
+++ b/shallotdrift/src/Fold/HandbookHandlers.cpp
@@ -95,7 +95,7 @@
     if (approved == 0 || invoked.version() != approved)
         return refused(
             ResultCode::NotReviewed, fmt::format("version {}, approved version {}", invoked.version(), approved));
-    return accepted(fmt::format("version {}", approved));
+    return accepted(fmt::format("invocation {}, version {}", invoked.invocation_id(), approved));
 }
 
 Verdict foldHandbookInvoked(FoldData& data, const RecordContext& context)
--- a/shallotdrift/src/Fold/InstanceHandlers.cpp
+++ b/shallotdrift/src/Fold/InstanceHandlers.cpp
@@ -61,15 +61,21 @@
         || !sameShape(instance.shape, shapeFrom(observed.shape()));
 }
 
-// Moving to another zone changes the gate, so it is allowed only while no entry can be sending to the instance.
-static bool mayChangeZone(const Instance& instance) { return instance.lost && instance.operationId.empty(); }
+// Another zone means another gate, so that the zone changes only while no entry can be sending to the instance. The
+// rack stays while work is under way, as the rule on one rack at a time rests on it.
+static bool mayChangePlace(const Instance& instance, const proto::InstanceObserved& observed)
+{
+    if (!instance.operationId.empty())
+        return instance.zone == observed.zone() && instance.rack == observed.rack();
+    return instance.zone == observed.zone() || instance.lost;
+}
 
 static Verdict updateInstance(Instance& instance, const proto::InstanceObserved& observed, Offset offset)
 {
     if (!differs(instance, observed))
         return refused(ResultCode::NothingToDo);
-    if (instance.zone != observed.zone() && !mayChangeZone(instance))
-        return refused(ResultCode::Conflict, "known in zone " + instance.zone);
+    if (!mayChangePlace(instance, observed))
+        return refused(ResultCode::Conflict, fmt::format("known in zone {}, rack {}", instance.zone, instance.rack));
     // The new epoch outdates reports of the loss that are still on their way. Work under way keeps its epoch.
     if (instance.lost && instance.operationId.empty())
         ++instance.epoch;
--- a/shallotdrift/src/Fold/PlannedWork.cpp
+++ b/shallotdrift/src/Fold/PlannedWork.cpp
@@ -29,11 +29,12 @@
     for (const auto& [id, instance] : state.instances) {
         if (instance.pool != pool)
             continue;
-        if (underPlannedWork(state, instance)) {
+        bool busy = underPlannedWork(state, instance);
+        if (busy) {
             budget.rackBusy = true;
             budget.busyRack = instance.rack;
         }
-        if (instance.lost)
+        if (instance.lost && !busy)
             continue;
         ++budget.instances;
         budget.available += instance.available() ? 1 : 0;
--- a/shallotdrift/src/Fold/PlannedWork.h
+++ b/shallotdrift/src/Fold/PlannedWork.h
@@ -10,7 +10,7 @@
 // Availability budget of a pool and the rack on which it has planned work.
 struct PoolBudget {
     std::string pool;
-    uint32_t instances = 0; // not lost
+    uint32_t instances = 0; // without those that are lost and not under planned work
     uint32_t available = 0;
     uint32_t minimum = 0;
     bool severalRacks = false;
--- a/test/FoldExplorationTest.cpp
+++ b/test/FoldExplorationTest.cpp
@@ -99,169 +99,63 @@
 };
 
 // Two operators move and maintain three instances while instances are lost and the second entry is replaced.
-class FleetActions {
-public:
-    std::vector<proto::Record> operator()(const FleetState& state)
-    {
-        records_.clear();
-        state_ = &state;
-        addMoves();
-        addWave();
-        addFaults();
-        return records_;
-    }
-
-private:
-    proto::Record& record(const char* actor)
-    {
-        auto& added = records_.emplace_back();
-        added.set_actor(actor);
-        return added;
-    }
-
-    void addMove(const char* actor, const char* id, const char* instance, const char* pool, uint64_t epoch)
-    {
-        auto& body = *record(actor).mutable_move_proposed();
-        body.set_move_id(id);
-        body.set_instance(instance);
-        body.set_to_pool(pool);
-        body.set_expected_epoch(epoch);
-    }
-
-    void addAcknowledgements(const std::string& operation)
-    {
-        for (const char* entry : { "e1", "e2" }) {
-            auto member = state_->entries.find(entry);
-            if (member == state_->entries.end())
-                continue;
-            auto& added = record("entry");
-            auto& body = *added.mutable_close_acknowledged();
-            body.set_operation_id(operation);
-            body.set_entry(entry);
-            body.set_boot(member->second.boot);
-            added.mutable_id()->set_writer(entry);
-            added.mutable_id()->set_boot(member->second.boot);
-        }
-    }
-
-    void addMoves()
-    {
-        addMove("operator:o1", "m1", "w1", "accounts", state_->instances.at("w1").epoch);
-        addMove("operator:o2", "m2", "w1", "accounts", 1); // from a view that may be outdated
-        addMove("operator:o2", "m3", "w2", "accounts", state_->instances.at("w2").epoch);
-        addMove("operator:o1", "m4", "w1", "reports", state_->instances.at("w1").epoch);
-        for (const char* id : { "m1", "m2", "m3", "m4" }) {
-            auto move = state_->moves.find(id);
-            if (move == state_->moves.end() || hasEnded(move->second))
-                continue;
-            addAcknowledgements(id);
-            record("entry").mutable_move_granted()->set_move_id(id);
-            record("operator:o1").mutable_move_aborted()->set_move_id(id);
-        }
-    }
-
-    void addWave()
-    {
-        record("operator:o2").mutable_wave_started()->set_wave_id("v1");
-        auto& abort = *record("operator:o1").mutable_wave_changed();
-        abort.set_wave_id("v1");
-        abort.set_change(proto::WaveChanged::ABORT);
-        for (const char* id : { "w1", "w2", "w3" }) {
-            auto& started = *record("entry").mutable_maintenance_started();
-            started.set_wave_id("v1");
-            started.set_instance(id);
-            started.set_expected_epoch(state_->instances.at(id).epoch);
-            addAcknowledgements(std::string("v1/") + id);
-            auto& done = *record("entry").mutable_maintenance_done();
-            done.set_wave_id("v1");
-            done.set_instance(id);
-            done.set_completed(true);
-        }
+static void addAcknowledgements(const FleetState& state, const std::string& operation, std::vector<proto::Record>& to)
+{
+    for (const auto& [id, entry] : state.entries)
+        to.push_back(records::acknowledged(operation, id, entry.boot));
+}
+
+static std::vector<proto::Record> fleetActions(const FleetState& state)
+{
+    auto epoch = [&](const char* id) { return state.instances.at(id).epoch; };
+    std::vector<proto::Record> actions {
+        records::move("m1", "w1", "accounts", epoch("w1")),
+        records::move("m2", "w1", "accounts", 1), // from a view that may be outdated
+        records::move("m3", "w2", "accounts", epoch("w2")),
+        records::move("m4", "w1", "reports", epoch("w1")),
+        records::wave("v1"),
+        records::waveChange("v1", proto::WaveChanged::ABORT),
+        records::lost("w2", epoch("w2")),
+        records::observed("w2", "reports"),
+        records::joined("e2", 2, "north"),
+        records::removed("e2", 1),
+    };
+    for (const char* id : { "m1", "m2", "m3", "m4" }) {
+        auto move = state.moves.find(id);
+        if (move == state.moves.end() || hasEnded(move->second))
+            continue;
+        addAcknowledgements(state, id, actions);
+        actions.push_back(records::granted(id));
+        actions.push_back(records::aborted(id));
     }
-
-    void addFaults()
-    {
-        auto& lost = *record("entry").mutable_instance_lost();
-        lost.set_instance("w2");
-        lost.set_expected_epoch(state_->instances.at("w2").epoch);
-        auto& back = *record("entry").mutable_instance_observed();
-        back.set_instance("w2");
-        back.set_address("10.0.0.1:80");
-        back.set_zone("north");
-        back.set_rack("rack-1");
-        back.set_pool("reports");
-        auto& joined = record("entry");
-        joined.mutable_id()->set_writer("e2");
-        joined.mutable_id()->set_boot(2);
-        joined.mutable_entry_joined()->set_entry("e2");
-        joined.mutable_entry_joined()->set_boot(2);
-        joined.mutable_entry_joined()->set_zone("north");
-        auto& removed = *record("operator:o1").mutable_entry_removed();
-        removed.set_entry("e2");
-        removed.set_boot(1);
-        removed.set_evidence(proto::EntryRemoved::CONFIRMED_BY_OPERATOR);
+    for (const char* id : { "w1", "w2", "w3" }) {
+        actions.push_back(records::maintenance("v1", id, epoch(id)));
+        addAcknowledgements(state, std::string("v1/") + id, actions);
+        actions.push_back(records::maintenanceDone("v1", id));
     }
-
-    std::vector<proto::Record> records_;
-    const FleetState* state_ = nullptr;
-};
-
-// Both entries, and a second boot of one, want the same key; the configuration changes under them.
-class KeyActions {
-public:
-    std::vector<proto::Record> operator()(const FleetState& state)
-    {
-        records_.clear();
-        for (const char* entry : { "e1", "e2" }) {
-            for (uint64_t boot : { 1, 2 })
-                addOwner(entry, boot);
-        }
-        for (const char* author : { "ana", "ben" }) {
-            auto& body = *record(author, 7).mutable_configuration_proposed();
-            body.set_expected_version(author == std::string("ana") ? state.configurationVersion : 1);
-            body.set_ini(TestFleet {}.ini());
-            body.set_author(author);
-            body.set_reviewer("cid");
+    return actions;
+}
+
+// Both entries, and a second boot of each, want the same key; the configuration changes under them.
+static std::vector<proto::Record> keyActions(const FleetState& state)
+{
+    static const std::string key = "1700000000000-k";
+    auto ini = TestFleet {}.ini();
+    std::vector<proto::Record> actions {
+        records::configuration(state.configurationVersion, ini, "ana", "cid"),
+        records::configuration(1, ini, "ben", "cid"), // from a view that may be outdated
+    };
+    for (const char* entry : { "e1", "e2" }) {
+        for (uint64_t boot : { 1, 2 }) {
+            actions.push_back(records::joined(entry, boot, "north"));
+            actions.push_back(records::intent(key, entry, boot));
+            actions.push_back(records::withdrawal(key, entry, boot));
+            actions.push_back(records::outcome(key, entry, boot));
+            actions.push_back(records::left(entry, boot));
         }
-        return records_;
     }
-
-private:
-    proto::Record& record(const char* writer, uint64_t boot)
-    {
-        auto& added = records_.emplace_back();
-        added.mutable_id()->set_writer(writer);
-        added.mutable_id()->set_boot(boot);
-        return added;
-    }
-
-    void addOwner(const char* entry, uint64_t boot)
-    {
-        static const std::string key = "1700000000000-k";
-        auto& joined = *record(entry, boot).mutable_entry_joined();
-        joined.set_entry(entry);
-        joined.set_boot(boot);
-        joined.set_zone("north");
-        auto& intent = *record(entry, boot).mutable_key_intent();
-        intent.set_key(key);
-        intent.set_digest(5);
-        intent.set_kind("issue");
-        intent.set_owner(entry);
-        intent.set_owner_boot(boot);
-        auto& withdrawn = *record(entry, boot).mutable_key_withdrawn();
-        withdrawn.set_key(key);
-        withdrawn.set_owner_boot(boot);
-        auto& outcome = *record(entry, boot).mutable_key_outcome();
-        outcome.set_key(key);
-        outcome.set_owner_boot(boot);
-        outcome.set_outcome(proto::KeyOutcome::RAN);
-        auto& left = *record(entry, boot).mutable_entry_left();
-        left.set_entry(entry);
-        left.set_boot(boot);
-    }
-
-    std::vector<proto::Record> records_;
-};
+    return actions;
+}
 
 class FoldExplorationTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(FoldExplorationTest);
@@ -290,7 +184,7 @@
     // Guards against any order of two operators' moves, a wave, a loss and a replaced entry that breaks a promise.
     void movesWavesAndLossesKeepTheInvariants()
     {
-        Explorer explorer { FleetActions() };
+        Explorer explorer { fleetActions };
         CPPUNIT_ASSERT_EQUAL(std::string(), explorer.run(smallFleet(), fleetDepth));
         std::cout << "fleet: depth " << fleetDepth << ", " << explorer.states() << " states, " << explorer.transitions()
                   << " transitions\n";
@@ -305,7 +199,7 @@
     // Guards against a key with two owners and a configuration version that goes back.
     void keysAndVersionsKeepTheInvariants()
     {
-        Explorer explorer { KeyActions() };
+        Explorer explorer { keyActions };
         CPPUNIT_ASSERT_EQUAL(std::string(), explorer.run(smallFleet(), keyDepth));
         std::cout << "keys: depth " << keyDepth << ", " << explorer.states() << " states, " << explorer.transitions()
                   << " transitions\n";
@@ -319,13 +213,13 @@
     // knows, and with a gate of one entry more, it has to find a violation.
     void explorationFindsASeededFault()
     {
-        Explorer budget { FleetActions() };
+        Explorer budget { fleetActions };
         budget.extraCheck = [](const FleetState&, const proto::Record& record, const FleetState& after) {
             bool planned = record.has_move_proposed() || record.has_maintenance_started();
             return std::string(planned && availableInPool(after, "reports") < 2 ? "below the raised minimum" : "");
         };
         CPPUNIT_ASSERT(!budget.run(smallFleet(), 3).empty());
-        Explorer gate { FleetActions() };
+        Explorer gate { fleetActions };
         gate.extraCheck = [](const FleetState& before, const proto::Record&, const FleetState& after) {
             const auto& from = before.instances.at("w1").pool;
             return std::string(from != after.instances.at("w1").pool ? "granted" : "");
--- a/test/FoldKeysTest.cpp
+++ b/test/FoldKeysTest.cpp
@@ -17,49 +17,22 @@
 
     static ResultCode intend(FoldLog& log, const std::string& key, const std::string& entry = "e1", uint64_t digest = 5)
     {
-        proto::Record record;
-        record.mutable_id()->set_writer(entry);
-        record.mutable_id()->set_boot(1);
-        auto& body = *record.mutable_key_intent();
-        body.set_key(key);
-        body.set_digest(digest);
-        body.set_kind("issue");
-        body.set_owner(entry);
-        body.set_owner_boot(1);
-        return log.add(record).verdict.code;
+        return log.code(records::intent(key, entry, 1, digest));
     }
 
     static ResultCode finish(FoldLog& log, const std::string& key, const std::string& entry = "e1")
     {
-        proto::Record record;
-        record.mutable_id()->set_writer(entry);
-        record.mutable_id()->set_boot(1);
-        auto& body = *record.mutable_key_outcome();
-        body.set_key(key);
-        body.set_owner_boot(1);
-        body.set_outcome(proto::KeyOutcome::RAN);
-        body.set_receipt("report 17");
-        return log.add(record).verdict.code;
+        return log.code(records::outcome(key, entry));
     }
 
     static ResultCode withdraw(FoldLog& log, const std::string& key, const std::string& entry = "e1")
     {
-        proto::Record record;
-        record.mutable_id()->set_writer(entry);
-        record.mutable_id()->set_boot(1);
-        record.mutable_key_withdrawn()->set_key(key);
-        record.mutable_key_withdrawn()->set_owner_boot(1);
-        return log.add(record).verdict.code;
+        return log.code(records::withdrawal(key, entry));
     }
 
     static void stamp(FoldLog& log, const std::string& entry, int64_t milliseconds)
     {
-        proto::Record record;
-        record.mutable_id()->set_writer(entry);
-        record.mutable_id()->set_boot(1);
-        record.set_written_ms(milliseconds);
-        record.mutable_writer_time();
-        ASSERT_OK(log.add(record).verdict.code);
+        ASSERT_OK(log.code(records::writerTime(entry, 1, milliseconds)));
     }
 
     static FoldLog fleet(const TestFleet& settings = {})
@@ -107,11 +80,7 @@
         auto log = fleet();
         auto key = keyAt(FoldLog::startMilliseconds);
         ASSERT_OK(intend(log, key, "e2"));
-        proto::Record removed;
-        removed.mutable_entry_removed()->set_entry("e2");
-        removed.mutable_entry_removed()->set_boot(1);
-        removed.mutable_entry_removed()->set_evidence(proto::EntryRemoved::GONE_FROM_LIST);
-        ASSERT_OK(log.add(removed).verdict.code);
+        ASSERT_OK(log.code(records::removed("e2", 1)));
         CPPUNIT_ASSERT(log.state().keys.at(key).status == KeyStatus::Unknown);
         ASSERT_CODE(ResultCode::OutcomeUnknown, intend(log, key));
         ASSERT_CODE(ResultCode::StaleEpoch, intend(log, keyAt(FoldLog::startMilliseconds + 1), "e2"));
--- a/test/FoldLog.h
+++ b/test/FoldLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Records.h"
 #include "TestFleet.h"
 
 #include "shallotdrift/Fold.h"
@@ -57,138 +58,49 @@
     const FleetState& state() const { return fold.state(); }
     const Instance& instance(const std::string& id) const { return state().instances.at(id); }
 
-    // Short forms of the records. Each returns the verdict's code.
-    ResultCode join(const std::string& entry, uint64_t entryBoot, const std::string& zone)
-    {
-        auto former = std::exchange(writer, entry);
-        auto formerBoot = std::exchange(boot, entryBoot);
-        proto::Record record;
-        auto& body = *record.mutable_entry_joined();
-        body.set_entry(entry);
-        body.set_boot(entryBoot);
-        body.set_zone(zone);
-        auto code = add(std::move(record)).verdict.code;
-        writer = former;
-        boot = formerBoot;
-        return code;
-    }
+    ResultCode code(proto::Record record) { return add(std::move(record)).verdict.code; }
 
-    ResultCode configure(const TestFleet& fleet, const std::string& author = "ana", const std::string& reviewer = "ben")
-    {
-        proto::Record record;
-        auto& body = *record.mutable_configuration_proposed();
-        body.set_expected_version(state().configurationVersion);
-        body.set_ini(fleet.ini());
-        body.set_author(author);
-        body.set_reviewer(reviewer);
-        return add(std::move(record)).verdict.code;
-    }
+    // Short forms that take the epoch or version from the state and return the verdict's code.
+    using Text = const std::string&;
+    ResultCode join(Text entry, uint64_t entryBoot, Text zone) { return code(records::joined(entry, entryBoot, zone)); }
 
-    ResultCode observe(const std::string& id, const std::string& pool, const std::string& zone = "north",
-        const std::string& rack = "rack-1")
+    ResultCode configure(const TestFleet& fleet, Text author = "ana", Text reviewer = "ben")
     {
-        proto::Record record;
-        auto& body = *record.mutable_instance_observed();
-        body.set_instance(id);
-        body.set_address("10.0.0.1:80");
-        body.set_zone(zone);
-        body.set_rack(rack);
-        body.set_pool(pool);
-        body.mutable_shape()->set_cores(16);
-        body.mutable_shape()->set_memory_mb(65536);
-        body.mutable_shape()->set_slots(8);
-        return add(std::move(record)).verdict.code;
+        return code(records::configuration(state().configurationVersion, fleet.ini(), author, reviewer));
     }
 
-    ResultCode lose(const std::string& id, bool leaving = false)
+    ResultCode observe(Text id, Text pool, Text zone = "north", Text rack = "rack-1")
     {
-        proto::Record record;
-        auto& body = *record.mutable_instance_lost();
-        body.set_instance(id);
-        body.set_expected_epoch(instance(id).epoch);
-        body.set_leaving(leaving);
-        return add(std::move(record)).verdict.code;
+        return code(records::observed(id, pool, zone, rack));
     }
 
-    ResultCode move(const std::string& id, const std::string& instanceId, const std::string& pool, uint64_t epoch = 0)
-    {
-        proto::Record record;
-        auto& body = *record.mutable_move_proposed();
-        body.set_move_id(id);
-        body.set_instance(instanceId);
-        body.set_expected_epoch(epoch ? epoch : instance(instanceId).epoch);
-        body.set_to_pool(pool);
-        return add(std::move(record)).verdict.code;
-    }
+    ResultCode lose(Text id, bool leaving = false) { return code(records::lost(id, instance(id).epoch, leaving)); }
 
-    ResultCode acknowledge(const std::string& operation, const std::string& entry, uint64_t entryBoot = 1)
+    ResultCode move(Text id, Text instanceId, Text pool, uint64_t epoch = 0)
     {
-        auto former = std::exchange(writer, entry);
-        auto formerBoot = std::exchange(boot, entryBoot);
-        proto::Record record;
-        auto& body = *record.mutable_close_acknowledged();
-        body.set_operation_id(operation);
-        body.set_entry(entry);
-        body.set_boot(entryBoot);
-        auto code = add(std::move(record)).verdict.code;
-        writer = former;
-        boot = formerBoot;
-        return code;
+        return code(records::move(id, instanceId, pool, epoch ? epoch : instance(instanceId).epoch));
     }
 
-    ResultCode grant(const std::string& id)
+    ResultCode acknowledge(Text operation, Text entry, uint64_t entryBoot = 1)
     {
-        proto::Record record;
-        record.mutable_move_granted()->set_move_id(id);
-        return add(std::move(record)).verdict.code;
+        return code(records::acknowledged(operation, entry, entryBoot));
     }
 
-    ResultCode abort(const std::string& id)
-    {
-        proto::Record record;
-        record.mutable_move_aborted()->set_move_id(id);
-        return add(std::move(record)).verdict.code;
-    }
+    ResultCode grant(Text id) { return code(records::granted(id)); }
+    ResultCode abort(Text id) { return code(records::aborted(id)); }
 
-    ResultCode startWave(const std::string& id, const std::string& pool = "", bool keepDrained = false,
-        uint32_t maximumParallel = 0, const std::string& zone = "")
+    ResultCode startWave(Text id, Text pool = "", bool keepDrained = false, uint32_t maximumParallel = 0)
     {
-        proto::Record record;
-        auto& body = *record.mutable_wave_started();
-        body.set_wave_id(id);
-        body.set_pool(pool);
-        body.set_zone(zone);
-        body.set_keep_drained(keepDrained);
-        body.set_max_parallel(maximumParallel);
-        return add(std::move(record)).verdict.code;
+        return code(records::wave(id, pool, "", keepDrained, maximumParallel));
     }
 
-    ResultCode changeWave(const std::string& id, proto::WaveChanged::Change change)
-    {
-        proto::Record record;
-        record.mutable_wave_changed()->set_wave_id(id);
-        record.mutable_wave_changed()->set_change(change);
-        return add(std::move(record)).verdict.code;
-    }
+    ResultCode changeWave(Text id, int change) { return code(records::waveChange(id, change)); }
 
-    ResultCode maintain(const std::string& wave, const std::string& id)
-    {
-        proto::Record record;
-        auto& body = *record.mutable_maintenance_started();
-        body.set_wave_id(wave);
-        body.set_instance(id);
-        body.set_expected_epoch(instance(id).epoch);
-        return add(std::move(record)).verdict.code;
-    }
+    ResultCode maintain(Text wave, Text id) { return code(records::maintenance(wave, id, instance(id).epoch)); }
 
-    ResultCode finish(const std::string& wave, const std::string& id, bool completed = true)
+    ResultCode finish(Text wave, Text id, bool completed = true)
     {
-        proto::Record record;
-        auto& body = *record.mutable_maintenance_done();
-        body.set_wave_id(wave);
-        body.set_instance(id);
-        body.set_completed(completed);
-        return add(std::move(record)).verdict.code;
+        return code(records::maintenanceDone(wave, id, completed));
     }
 
     // Two entries in the north, one in the south, and the configuration.
--- a/test/FoldMovesTest.cpp
+++ b/test/FoldMovesTest.cpp
@@ -89,6 +89,12 @@
             ASSERT_CODE(ResultCode::BudgetExceeded, log.move("m4", "w4", "accounts"));
             CPPUNIT_ASSERT_EQUAL(uint32_t { 1 }, availableInPool(log.state(), "reports"));
         }
+        {
+            Section place("the rack of an instance under work and the zone of one in service stay");
+            ASSERT_CODE(ResultCode::Conflict, log.observe("w1", "reports", "north", "rack-9"));
+            ASSERT_CODE(ResultCode::Conflict, log.observe("w4", "reports", "south", "rack-1"));
+            ASSERT_CODE(ResultCode::Conflict, log.join("e1", 1, "south"));
+        }
         {
             Section leaving("a leaving instance does not count either");
             ASSERT_OK(log.observe("w2", "reports", "north", "rack-2"));
@@ -116,12 +122,8 @@
         }
         {
             Section removed("an entry that is known to have stopped is not waited for");
-            proto::Record record;
-            record.mutable_entry_removed()->set_entry("e2");
-            record.mutable_entry_removed()->set_boot(2);
-            ASSERT_CODE(ResultCode::InvalidRecord, log.add(record).verdict.code);
-            record.mutable_entry_removed()->set_evidence(proto::EntryRemoved::GONE_FROM_LIST);
-            ASSERT_OK(log.add(record).verdict.code);
+            ASSERT_CODE(ResultCode::InvalidRecord, log.code(records::removed("e2", 2, 0)));
+            ASSERT_OK(log.code(records::removed("e2", 2)));
             CPPUNIT_ASSERT(log.instance("w1").status == InstanceStatus::Closed);
             ASSERT_OK(log.grant("m1"));
         }
@@ -141,10 +143,7 @@
         ASSERT_CODE(ResultCode::NothingToDo, log.lose("w1"));
         ASSERT_OK(log.observe("w1", "reports"));
         CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, log.instance("w1").epoch);
-        proto::Record late;
-        late.mutable_instance_lost()->set_instance("w1");
-        late.mutable_instance_lost()->set_expected_epoch(2);
-        ASSERT_CODE(ResultCode::StaleEpoch, log.add(late).verdict.code);
+        ASSERT_CODE(ResultCode::StaleEpoch, log.code(records::lost("w1", 2)));
         CPPUNIT_ASSERT(log.instance("w1").available());
     }
 };
--- a/test/FoldPropertiesTest.cpp
+++ b/test/FoldPropertiesTest.cpp
@@ -22,14 +22,15 @@
     proto::Record next(const FleetState& state)
     {
         state_ = &state;
-        proto::Record record;
-        record.mutable_id()->set_writer(pick({ "e1", "e2", "e3", "e1", "e2", "\xc3\xa9" }));
-        record.mutable_id()->set_boot(number() % 16 ? 1 : 2);
+        writer_ = pick({ "e1", "e2", "e3", "e1", "e2", "\xc3\xa9" });
+        boot_ = number() % 16 ? 1 : 2;
+        auto record = any(30) < 18 ? fleetRecord() : workRecord();
+        record.mutable_id()->set_writer(number() % 16 ? writer_ : "e1");
+        record.mutable_id()->set_boot(boot_);
         if (number() % 16 == 0)
             record.mutable_id()->set_sequence(small()); // most often a copy; otherwise FoldLog counts
         record.set_written_ms(number() % 32 ? FoldLog::startMilliseconds + time() : static_cast<int64_t>(number()));
         record.set_reason(std::string(number() % 64 ? 3 : 300, 'r'));
-        fill(record);
         return record;
     }
 
@@ -41,10 +42,7 @@
     std::string instance() { return pick({ "w1", "w2", "w3", "w4", "w5", "", "a/b" }); }
     std::string pool() { return pick({ "reports", "accounts", "reports", "nowhere" }); }
     std::string zone() { return pick({ "north", "south", "north", "" }); }
-    std::string entry(const proto::Record& record)
-    {
-        return number() % 4 ? record.id().writer() : pick({ "e1", "e2" });
-    }
+    std::string entry() { return number() % 4 ? writer_ : pick({ "e1", "e2" }); }
     std::string wave() { return pick({ "v1", "v2", "v1", "" }); }
     std::string move() { return pick({ "m1", "m2", "m3", "v1/w1", "" }); }
     std::string key()
@@ -63,139 +61,86 @@
     }
     std::string text() { return pick({ "ana", "ben", "", "\xc3\xa9" }); }
 
-    template <typename Body> void fillEntry(const proto::Record& record, Body& body)
+    int any(int limit) { return static_cast<int>(number() % static_cast<uint64_t>(limit)); }
+    bool coin() { return number() % 2 > 0; }
+
+    std::string ini()
     {
-        body.set_entry(entry(record));
-        body.set_boot(record.id().boot());
+        TestFleet fleet;
+        fleet.pools["reports"] = static_cast<uint32_t>(small());
+        if (any(3) == 0)
+            fleet.pools.erase("accounts");
+        return any(4) ? fleet.ini() : "invalid";
     }
 
-    void fill(proto::Record& record)
+    proto::Record fleetRecord()
     {
-        switch (number() % 30) {
+        std::string id = instance();
+        switch (any(20)) {
         case 0:
-            fillEntry(record, *record.mutable_entry_joined());
-            return record.mutable_entry_joined()->set_zone(zone());
+            return records::joined(entry(), boot_, zone());
         case 1:
-            return fillEntry(record, *record.mutable_entry_left());
+            return records::left(entry(), boot_);
         case 2:
-            fillEntry(record, *record.mutable_entry_removed());
-            return record.mutable_entry_removed()->set_evidence(
-                static_cast<proto::EntryRemoved::Evidence>(number() % 4));
+            return records::removed(entry(), boot_, any(4));
         case 3:
-            return fillConfiguration(*record.mutable_configuration_proposed());
+            return records::configuration(small(), ini(), "ana", text());
         case 4:
-            record.mutable_handbook_proposed()->set_name(pick({ "h1", "h2", "" }));
-            record.mutable_handbook_proposed()->set_expected_version(number() % 3);
-            record.mutable_handbook_proposed()->set_author(text());
-            return record.mutable_handbook_proposed()->set_ini(pick({ "[step 1]", "x" }));
+            return records::handbook(pick({ "h1", "h2", "" }), number() % 3, pick({ "[step 1]", "x" }), text());
         case 5:
-            record.mutable_handbook_reviewed()->set_name(pick({ "h1", "h2" }));
-            record.mutable_handbook_reviewed()->set_version(number() % 3);
-            record.mutable_handbook_reviewed()->set_reviewer(text());
-            return record.mutable_handbook_reviewed()->set_approved(number() % 2);
+            return records::review(pick({ "h1", "h2" }), number() % 3, text(), coin());
         case 6:
-            record.mutable_handbook_invoked()->set_name(pick({ "h1", "h2" }));
-            record.mutable_handbook_invoked()->set_version(number() % 3);
-            return record.mutable_handbook_invoked()->set_invocation_id(pick({ "i1", "i2", "" }));
+            return records::invocation(pick({ "h1", "h2" }), number() % 3, pick({ "i1", "i2", "" }));
         case 7:
         case 8:
-            return fillInstance(*record.mutable_instance_observed());
+            return records::observed(id, pool(), zone(), pick({ "r1", "r2" }));
         case 9:
-            record.mutable_instance_lost()->set_instance(instance());
-            record.mutable_instance_lost()->set_leaving(number() % 2);
-            return record.mutable_instance_lost()->set_expected_epoch(epoch(record.instance_lost().instance()));
+            return records::lost(id, epoch(id), coin());
         case 10:
         case 11:
-            record.mutable_move_proposed()->set_move_id(move());
-            record.mutable_move_proposed()->set_instance(instance());
-            record.mutable_move_proposed()->set_to_pool(pool());
-            return record.mutable_move_proposed()->set_expected_epoch(epoch(record.move_proposed().instance()));
+            return records::move(move(), id, pool(), epoch(id));
         case 12:
         case 13:
-            fillEntry(record, *record.mutable_close_acknowledged());
-            return record.mutable_close_acknowledged()->set_operation_id(
-                number() % 2 ? move() : wave() + "/" + instance());
+            return records::acknowledged(coin() ? move() : wave() + "/" + id, entry(), boot_);
         case 14:
-            return record.mutable_move_granted()->set_move_id(move());
+            return records::granted(move());
         case 15:
-            return record.mutable_move_aborted()->set_move_id(move());
+            return records::aborted(move());
         case 16:
-            record.mutable_wave_started()->set_wave_id(wave());
-            record.mutable_wave_started()->set_zone(zone());
-            return record.mutable_wave_started()->set_keep_drained(number() % 2);
+            return records::wave(wave(), "", zone(), coin());
         case 17:
-            record.mutable_wave_changed()->set_wave_id(wave());
-            return record.mutable_wave_changed()->set_change(static_cast<proto::WaveChanged::Change>(number() % 5));
+            return records::waveChange(wave(), any(5));
         case 18:
-            record.mutable_maintenance_started()->set_wave_id(wave());
-            record.mutable_maintenance_started()->set_instance(instance());
-            return record.mutable_maintenance_started()->set_expected_epoch(
-                epoch(record.maintenance_started().instance()));
-        case 19:
-            record.mutable_maintenance_done()->set_wave_id(wave());
-            record.mutable_maintenance_done()->set_instance(instance());
-            return record.mutable_maintenance_done()->set_completed(number() % 2);
+            return records::maintenance(wave(), id, epoch(id));
         default:
-            return fillWork(record);
+            return records::maintenanceDone(wave(), id, coin());
         }
     }
 
-    void fillConfiguration(proto::ConfigurationProposed& body)
-    {
-        TestFleet fleet;
-        fleet.pools["reports"] = static_cast<uint32_t>(small());
-        if (number() % 3 == 0)
-            fleet.pools.erase("accounts");
-        body.set_ini(number() % 4 ? fleet.ini() : "invalid");
-        body.set_expected_version(small());
-        body.set_author("ana");
-        body.set_reviewer(text());
-    }
-
-    void fillInstance(proto::InstanceObserved& body)
-    {
-        body.set_instance(instance());
-        body.set_zone(zone());
-        body.set_rack(pick({ "r1", "r2" }));
-        body.set_pool(pool());
-    }
-
-    void fillWork(proto::Record& record)
+    proto::Record workRecord()
     {
+        std::string id = instance();
         std::string task = pick({ "t1", "t2" });
-        switch (number() % 7) {
+        switch (any(7)) {
         case 0:
-            record.mutable_task_accepted()->set_task_id(task);
-            return record.mutable_task_accepted()->mutable_spec()->set_kind(pick({ "ledger", "check" }));
+            return records::task(task, pick({ "ledger", "check" }));
         case 1:
-            record.mutable_task_placed()->set_task_id(task);
-            record.mutable_task_placed()->set_expected_token(token(task));
-            record.mutable_task_placed()->set_instance(instance());
-            record.mutable_task_placed()->set_expected_epoch(epoch(record.task_placed().instance()));
-            return record.mutable_task_placed()->set_owner(entry(record));
+            return records::placed(task, id, epoch(id), token(task), entry());
         case 2:
-            record.mutable_task_owner()->set_task_id(task);
-            record.mutable_task_owner()->set_expected_token(token(task));
-            return record.mutable_task_owner()->set_owner(entry(record));
+            return records::takenOver(task, entry(), token(task));
         case 3:
-            record.mutable_task_ended()->set_task_id(task);
-            record.mutable_task_ended()->set_expected_token(token(task));
-            return record.mutable_task_ended()->set_end(static_cast<proto::TaskEnded::End>(number() % 7));
+            return records::taskEnd(task, token(task), any(7));
         case 4:
-            record.mutable_key_intent()->set_key(key());
-            record.mutable_key_intent()->set_kind("issue");
-            record.mutable_key_intent()->set_owner(record.id().writer());
-            return record.mutable_key_intent()->set_owner_boot(record.id().boot());
+            return records::intent(key(), writer_, boot_);
         case 5:
-            record.mutable_key_outcome()->set_key(key());
-            record.mutable_key_outcome()->set_owner_boot(record.id().boot());
-            return record.mutable_key_outcome()->set_outcome(static_cast<proto::KeyOutcome::Outcome>(number() % 5));
+            return records::outcome(key(), writer_, boot_, any(5));
         default:
-            record.mutable_key_withdrawn()->set_key(key());
-            return record.mutable_key_withdrawn()->set_owner_boot(record.id().boot());
+            return records::withdrawal(key(), writer_, boot_);
         }
     }
 
+    std::string writer_;
+    uint64_t boot_ = 1;
     std::mt19937_64 random_;
     const FleetState* state_ = nullptr;
 };
--- a/test/FoldRecordsTest.cpp
+++ b/test/FoldRecordsTest.cpp
@@ -20,77 +20,42 @@
 
     static proto::Record timeOf(uint64_t boot, uint64_t sequence)
     {
-        proto::Record record;
-        record.mutable_id()->set_writer("e1");
-        record.mutable_id()->set_boot(boot);
+        auto record = records::writerTime("e1", boot, FoldLog::startMilliseconds);
         record.mutable_id()->set_sequence(sequence);
-        record.mutable_writer_time();
         return record;
     }
 
-    static ResultCode propose(FoldLog& log, uint64_t expected, const std::string& ini = "[step 1]")
-    {
-        proto::Record record;
-        auto& body = *record.mutable_handbook_proposed();
-        body.set_name("flood-lend");
-        body.set_expected_version(expected);
-        body.set_ini(ini);
-        body.set_author("ana");
-        return log.add(record).verdict.code;
-    }
-
-    static ResultCode review(FoldLog& log, uint64_t version, const std::string& reviewer, bool approved)
-    {
-        proto::Record record;
-        auto& body = *record.mutable_handbook_reviewed();
-        body.set_name("flood-lend");
-        body.set_version(version);
-        body.set_reviewer(reviewer);
-        body.set_approved(approved);
-        return log.add(record).verdict.code;
-    }
-
-    static ResultCode invoke(FoldLog& log, uint64_t version, const std::string& id)
-    {
-        proto::Record record;
-        auto& body = *record.mutable_handbook_invoked();
-        body.set_name("flood-lend");
-        body.set_version(version);
-        body.set_invocation_id(id);
-        return log.add(record).verdict.code;
-    }
-
 public:
     // Guards against an append that was repeated after its answer was lost and takes effect twice.
     void copiesAreFoldedOnce()
     {
         FoldLog log;
-        ASSERT_OK(log.add(timeOf(1, 2)).verdict.code);
-        ASSERT_CODE(ResultCode::DuplicateRecord, log.add(timeOf(1, 2)).verdict.code);
-        ASSERT_OK(log.add(timeOf(1, 1)).verdict.code);
-        ASSERT_CODE(ResultCode::DuplicateRecord, log.add(timeOf(1, 1)).verdict.code);
+        ASSERT_OK(log.code(timeOf(1, 2)));
+        ASSERT_CODE(ResultCode::DuplicateRecord, log.code(timeOf(1, 2)));
+        ASSERT_OK(log.code(timeOf(1, 1)));
+        ASSERT_CODE(ResultCode::DuplicateRecord, log.code(timeOf(1, 1)));
         auto unnamed = timeOf(1, 3);
         unnamed.mutable_id()->set_writer("two words");
-        ASSERT_CODE(ResultCode::InvalidRecord, log.add(unnamed).verdict.code);
+        ASSERT_CODE(ResultCode::InvalidRecord, log.code(unnamed));
         {
             Section boots("the windows of former boots are kept for late copies");
-            ASSERT_OK(log.add(timeOf(2, 1)).verdict.code);
-            ASSERT_CODE(ResultCode::DuplicateRecord, log.add(timeOf(1, 2)).verdict.code);
+            ASSERT_OK(log.code(timeOf(2, 1)));
+            ASSERT_CODE(ResultCode::DuplicateRecord, log.code(timeOf(1, 2)));
         }
         {
             Section jump("a jump keeps a bounded number of missing sequences");
-            ASSERT_OK(log.add(timeOf(1, UINT64_MAX)).verdict.code);
-            ASSERT_OK(log.add(timeOf(1, UINT64_MAX - internal::maximumMissingSequences)).verdict.code);
-            ASSERT_CODE(ResultCode::DuplicateRecord,
-                log.add(timeOf(1, UINT64_MAX - internal::maximumMissingSequences - 1)).verdict.code);
+            ASSERT_OK(log.code(timeOf(1, UINT64_MAX)));
+            ASSERT_OK(log.code(timeOf(1, UINT64_MAX - internal::maximumMissingSequences)));
+            ASSERT_CODE(
+                ResultCode::DuplicateRecord, log.code(timeOf(1, UINT64_MAX - internal::maximumMissingSequences - 1)));
         }
         Section many("the window of a member outlives those of many other boots");
         ASSERT_OK(log.join("e2", 1, "north"));
         for (uint64_t boot = 100; boot < 100 + 2 * internal::maximumWriterWindows; ++boot)
-            ASSERT_OK(log.add(timeOf(boot, 1)).verdict.code);
+            ASSERT_OK(log.code(timeOf(boot, 1)));
         proto::Record copy = timeOf(1, 1);
         copy.mutable_id()->set_writer("e2");
-        ASSERT_CODE(ResultCode::DuplicateRecord, log.add(copy).verdict.code);
+        ASSERT_CODE(ResultCode::DuplicateRecord, log.code(copy));
     }
 
     // Guards against entries that diverge or stop on a payload that is no batch.
@@ -150,9 +115,7 @@
         ASSERT_CODE(ResultCode::SameAuthorAndReviewer, log.configure({}, "ana", "ana"));
         ASSERT_CODE(ResultCode::NotReviewed, log.configure({}, "ana", ""));
         ASSERT_OK(log.configure({}));
-        proto::Record stale;
-        stale.mutable_configuration_proposed()->set_expected_version(1);
-        ASSERT_CODE(ResultCode::StaleEpoch, log.add(stale).verdict.code);
+        ASSERT_CODE(ResultCode::StaleEpoch, log.code(records::configuration(1, TestFleet {}.ini(), "ana", "ben")));
         CPPUNIT_ASSERT_EQUAL(uint64_t { 2 }, log.state().configurationVersion);
         TestFleet invalid;
         invalid.pools = {};
@@ -175,22 +138,29 @@
     void handbookEntriesAreReviewedBeforeUse()
     {
         FoldLog log;
-        ASSERT_CODE(ResultCode::InvalidHandbook, propose(log, 0, "[nothing]"));
-        ASSERT_OK(propose(log, 0));
-        ASSERT_CODE(ResultCode::StaleEpoch, propose(log, 0));
-        ASSERT_CODE(ResultCode::NotReviewed, invoke(log, 1, "i1"));
-        ASSERT_CODE(ResultCode::SameAuthorAndReviewer, review(log, 1, "ana", true));
-        ASSERT_OK(review(log, 1, "ben", true));
-        ASSERT_CODE(ResultCode::WrongState, review(log, 1, "cid", false));
-        ASSERT_OK(invoke(log, 1, "i1"));
-        ASSERT_CODE(ResultCode::DuplicateRecord, invoke(log, 1, "i1"));
+        const std::string name = "flood-lend";
+        auto propose = [&](uint64_t version) { return log.code(records::handbook(name, version, "[step 1]", "ana")); };
+        auto review = [&](uint64_t version, const char* reviewer, bool approved) {
+            return log.code(records::review(name, version, reviewer, approved));
+        };
+        auto invoke
+            = [&](uint64_t version, const char* id) { return log.code(records::invocation(name, version, id)); };
+        ASSERT_CODE(ResultCode::InvalidHandbook, log.code(records::handbook(name, 0, "[nothing]", "ana")));
+        ASSERT_OK(propose(0));
+        ASSERT_CODE(ResultCode::StaleEpoch, propose(0));
+        ASSERT_CODE(ResultCode::NotReviewed, invoke(1, "i1"));
+        ASSERT_CODE(ResultCode::SameAuthorAndReviewer, review(1, "ana", true));
+        ASSERT_OK(review(1, "ben", true));
+        ASSERT_CODE(ResultCode::WrongState, review(1, "cid", false));
+        ASSERT_OK(invoke(1, "i1"));
+        ASSERT_CODE(ResultCode::DuplicateRecord, invoke(1, "i1"));
         Section next("the approved version stays in force until the next one is approved");
-        ASSERT_OK(propose(log, 1));
-        ASSERT_CODE(ResultCode::NotReviewed, invoke(log, 2, "i2"));
-        ASSERT_OK(invoke(log, 1, "i2"));
-        ASSERT_OK(review(log, 2, "ben", false));
-        ASSERT_CODE(ResultCode::NotReviewed, invoke(log, 2, "i3"));
-        ASSERT_OK(invoke(log, 1, "i3"));
+        ASSERT_OK(propose(1));
+        ASSERT_CODE(ResultCode::NotReviewed, invoke(2, "i2"));
+        ASSERT_OK(invoke(1, "i2"));
+        ASSERT_OK(review(2, "ben", false));
+        ASSERT_CODE(ResultCode::NotReviewed, invoke(2, "i3"));
+        ASSERT_OK(invoke(1, "i3"));
     }
 
     // Guards against one entry that takes on every duty, and against ranks that differ between entries.
--- a/test/FoldTasksTest.cpp
+++ b/test/FoldTasksTest.cpp
@@ -29,48 +29,24 @@
         return log;
     }
 
-    static ResultCode accept(
-        FoldLog& log, const std::string& id, uint32_t cores = 4, const std::string& kind = "ledger")
+    static ResultCode accept(FoldLog& log, const std::string& id, uint32_t cores = 4, const char* kind = "ledger")
     {
-        proto::Record record;
-        record.mutable_task_accepted()->set_task_id(id);
-        auto& spec = *record.mutable_task_accepted()->mutable_spec();
-        spec.set_kind(kind);
-        spec.set_cores(cores);
-        spec.set_memory_mb(1024);
-        return log.add(record).verdict.code;
+        return log.code(records::task(id, kind, cores));
     }
 
     static ResultCode place(FoldLog& log, const std::string& id, const std::string& instance, uint64_t token)
     {
-        proto::Record record;
-        auto& body = *record.mutable_task_placed();
-        body.set_task_id(id);
-        body.set_instance(instance);
-        body.set_expected_epoch(log.instance(instance).epoch);
-        body.set_expected_token(token);
-        body.set_owner("e1");
-        return log.add(record).verdict.code;
+        return log.code(records::placed(id, instance, log.instance(instance).epoch, token));
     }
 
     static ResultCode takeOver(FoldLog& log, const std::string& id, const std::string& owner, uint64_t token)
     {
-        proto::Record record;
-        auto& body = *record.mutable_task_owner();
-        body.set_task_id(id);
-        body.set_expected_token(token);
-        body.set_owner(owner);
-        return log.add(record).verdict.code;
+        return log.code(records::takenOver(id, owner, token));
     }
 
     static ResultCode end(FoldLog& log, const std::string& id, uint64_t token, End::End how)
     {
-        proto::Record record;
-        auto& body = *record.mutable_task_ended();
-        body.set_task_id(id);
-        body.set_expected_token(token);
-        body.set_end(how);
-        return log.add(record).verdict.code;
+        return log.code(records::taskEnd(id, token, how));
     }
 
     static const Task& task(const FoldLog& log, const std::string& id) { return log.state().tasks.at(id); }
--- a/test/SnapshotTest.cpp
+++ b/test/SnapshotTest.cpp
@@ -21,26 +21,6 @@
     CPPUNIT_TEST(wrongPiecesAreDroppedAndMemoryIsBounded);
     CPPUNIT_TEST_SUITE_END();
 
-    static void addTask(FoldLog& log, const char* id)
-    {
-        proto::Record record;
-        record.mutable_task_accepted()->set_task_id(id);
-        record.mutable_task_accepted()->mutable_spec()->set_kind("ledger");
-        record.mutable_task_accepted()->mutable_spec()->set_input(std::string("\0\xff", 2));
-        ASSERT_OK(log.add(record).verdict.code);
-    }
-
-    static void addKey(FoldLog& log, int number)
-    {
-        proto::Record record;
-        auto& body = *record.mutable_key_intent();
-        body.set_key(fmt::format("{}-k", FoldLog::startMilliseconds + number));
-        body.set_kind("issue");
-        body.set_owner("e1");
-        body.set_owner_boot(1);
-        ASSERT_OK(log.add(record).verdict.code);
-    }
-
     // A fleet with something of every kind in its state.
     static FoldLog busyFleet()
     {
@@ -58,14 +38,10 @@
         ASSERT_OK(log.lose("w5"));
         ASSERT_OK(log.move("m3", "w4", "accounts"));
         ASSERT_CODE(ResultCode::BudgetExceeded, log.move("m4", "w2", "accounts"));
-        addTask(log, "t1");
-        addKey(log, 1);
-        addKey(log, 2);
-        proto::Record handbook;
-        handbook.mutable_handbook_proposed()->set_name("flood-lend");
-        handbook.mutable_handbook_proposed()->set_ini("[step 1]");
-        handbook.mutable_handbook_proposed()->set_author("ana");
-        ASSERT_OK(log.add(handbook).verdict.code);
+        ASSERT_OK(log.code(records::task("t1")));
+        ASSERT_OK(log.code(records::intent("1700000000001-k", "e1")));
+        ASSERT_OK(log.code(records::intent("1700000000002-k", "e2")));
+        ASSERT_OK(log.code(records::handbook("flood-lend", 0, "[step 1]", "ana")));
         return log;
     }
 
