--- a/standin/Journal.cpp
+++ b/standin/Journal.cpp
@@ -17,7 +17,7 @@
         return;
     line["time"] = unixMilliseconds(wallNow());
     std::lock_guard lock(mutex_);
-    file_ << line.dump() + "\n" << std::flush;
+    file_ << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n" << std::flush;
 }
 
 } // namespace shallotdrift::standin
--- a/standin/TargetInstance.cpp
+++ b/standin/TargetInstance.cpp
@@ -4,6 +4,7 @@
 #include "WorkText.h"
 
 #include <asio/post.hpp>
+#include <fmt/format.h>
 
 namespace shallotdrift::standin {
 
@@ -37,12 +38,12 @@
 {
     BOOST_LEAF_AUTO(endpoint, parseAddress(description_.address));
     BOOST_LEAF_CHECK(listen(acceptor_, endpoint));
+    endpoint.port(acceptor_.local_endpoint().port()); // a free port is kept over reboots
+    description_.address = fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
     accept();
     return {};
 }
 
-uint16_t TargetInstance::port() const { return acceptor_.local_endpoint().port(); }
-
 void TargetInstance::accept()
 {
     acceptor_.async_accept([self = shared_from_this()](std::error_code error, asio::ip::tcp::socket socket) {
@@ -135,8 +136,10 @@
     auto end = line("run_end", *run);
     end["failed"] = failed;
     journal_.write(std::move(end));
+    auto id = work.text("id");
     auto length = std::min(work.number("answer_bytes", defaultAnswerBytes), maximumAnswerBytes);
-    answerWithFault(session, *run, failed ? 500 : 200, failed ? "" : answerContent(run->requestId, length));
+    answerWithFault(
+        session, *run, failed ? 500 : 200, failed ? "" : answerContent(id.empty() ? run->requestId : id, length));
 }
 
 void TargetInstance::answerWithFault(
--- a/standin/TargetInstance.h
+++ b/standin/TargetInstance.h
@@ -26,7 +26,6 @@
     void sessionClosed(const std::shared_ptr<TargetSession>&);
 
     const FleetInstance& description() const { return description_; }
-    uint16_t port() const;
 
     // Control calls; each returns the HTTP status.
     unsigned assign(const std::string& pool, uint64_t epoch);
--- a/standin/WorkText.cpp
+++ b/standin/WorkText.cpp
@@ -29,12 +29,12 @@
     return parseNumber(text(name), std::numeric_limits<uint64_t>::max()).value_or(defaultValue);
 }
 
-std::string answerContent(std::string_view requestId, size_t length)
+std::string answerContent(std::string_view id, size_t length)
 {
     std::string content;
     content.reserve(length + 16);
     for (uint64_t block = 0; content.size() < length; ++block)
-        content += digestToHex(digestOf(requestId, block));
+        content += digestToHex(digestOf(id, block));
     content.resize(length);
     return content;
 }
--- a/standin/WorkText.h
+++ b/standin/WorkText.h
@@ -20,7 +20,8 @@
     std::map<std::string, std::string> fields_;
 };
 
-// Content that a target answers: a pure function of the request id, so that a caller can verify it.
-std::string answerContent(std::string_view requestId, size_t length);
+// Content that a target answers, so that a caller can verify it: a pure function of the work's field "id", or of the
+// request id where there is none. Retries share the field but not the request id.
+std::string answerContent(std::string_view id, size_t length);
 
 } // namespace shallotdrift::standin
