Close the targets stand-in cleanly and cover more of the caller server

Change: TargetHost closes its listeners and sessions. Tests now cover 100-continue and a caller that does not read its answer.

--- a/standin/LoadGenerator.cpp
+++ b/standin/LoadGenerator.cpp
@@ -8,7 +8,8 @@
 
 namespace shallotdrift::standin {
 
-// Time during which an entry that could not be connected to is passed over, as the platform's balancer would do.
+// Time during which an entry that is not ready or cannot be connected to is passed over, as the platform's balancer
+// would do.
 static constexpr Milliseconds avoidTime { 500 };
 static constexpr Milliseconds retryPause { 50 };
 static constexpr size_t noEntry = SIZE_MAX;
@@ -177,6 +178,8 @@
         { "elapsed_ms", std::chrono::duration<double, std::milli>(elapsed).count() } };
     auto code = judge(*request, outcome, line);
     journal_.write(std::move(line));
+    if (code == ResultCode::Stopping || code == ResultCode::NotReady)
+        entries_[entry].avoidUntil = BootClock::now() + avoidTime;
     if (mayRetry(*request, code)) {
         auto timer = std::make_shared<asio::steady_timer>(io_, retryPause);
         timer->async_wait([this, request, entry, timer](std::error_code) { send(request, entry); });
--- a/standin/TargetHost.cpp
+++ b/standin/TargetHost.cpp
@@ -11,6 +11,12 @@
 {
 }
 
+TargetHost::~TargetHost()
+{
+    for (const auto& [id, instance] : instances_)
+        instance->shutDown();
+}
+
 Result<void> TargetHost::add(const FleetInstance& description)
 {
     auto instance = std::make_shared<TargetInstance>(io_, *this, journal_, description, rebootTime_);
--- a/standin/TargetHost.h
+++ b/standin/TargetHost.h
@@ -11,6 +11,11 @@
 public:
     TargetHost(asio::io_context&, Journal&, Milliseconds rebootTime);
 
+    // Closes all listeners and connections; to be called on the loop's thread or after it has ended.
+    ~TargetHost();
+    TargetHost(const TargetHost&) = delete;
+    TargetHost& operator=(const TargetHost&) = delete;
+
     Result<void> add(const FleetInstance&);
     size_t size() const { return instances_.size(); }
     std::shared_ptr<TargetInstance> find(const std::string& id) const;
--- a/standin/TargetInstance.cpp
+++ b/standin/TargetInstance.cpp
@@ -187,6 +187,15 @@
     acceptor_.close(ignored);
 }
 
+void TargetInstance::shutDown()
+{
+    closeListener();
+    rebootTimer_.cancel();
+    auto sessions = sessions_;
+    for (const auto& session : sessions)
+        session->close();
+}
+
 // Runs that are under way are lost, as on a real reboot.
 void TargetInstance::restart()
 {
--- a/standin/TargetInstance.h
+++ b/standin/TargetInstance.h
@@ -21,6 +21,8 @@
     TargetInstance(asio::io_context&, TargetHost&, Journal&, FleetInstance, Milliseconds rebootTime);
 
     Result<void> startListening();
+    // Ends without marks and without waiting for runs.
+    void shutDown();
     // Answers a request, at once or later.
     void handle(const std::shared_ptr<TargetSession>&, HttpMessage&&);
     void sessionClosed(const std::shared_ptr<TargetSession>&);
--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -107,6 +107,15 @@
             CPPUNIT_ASSERT_EQUAL(size_t { 3 << 20 }, answer.body.size());
         }
         CPPUNIT_ASSERT(eventually([&] { return server->openRequests() == 0; }));
+        {
+            Section expectation("a caller may ask before it sends its body");
+            caller.send("POST /v1/work/quick HTTP/1.1\r\nRequest-Id: e\r\nExpect: 100-continue\r\nContent-Length: "
+                        "2\r\n\r\n");
+            CPPUNIT_ASSERT_EQUAL(100U, caller.receive().status);
+            caller.send("ab");
+            server.answer(server.next(), "expected");
+            CPPUNIT_ASSERT_EQUAL(std::string("expected"), caller.receive().body);
+        }
     }
 
     // Guards against a path that reaches the wrong operation.
@@ -252,6 +261,14 @@
             assertAnswer(caller.receive(), 408, "112", "-");
             CPPUNIT_ASSERT(caller.closedByPeer());
         }
+        {
+            Section unread("a caller that does not read its answer loses the connection, not the server's memory");
+            auto caller = server.connect();
+            caller.send(work("r"));
+            server.answer(server.next(), std::string(64 << 20, 'x'));
+            CPPUNIT_ASSERT(eventually([&] { return server->openRequests() == 0; }));
+            CPPUNIT_ASSERT_THROW(caller.receive(), std::runtime_error);
+        }
         {
             Section waiting("a caller that waits for its answer is not idle");
             auto caller = server.connect();
