--- a/standin/TargetInstance.h
+++ b/standin/TargetInstance.h
@@ -21,12 +21,13 @@
     TargetInstance(asio::io_context&, TargetHost&, Journal&, FleetInstance, Milliseconds rebootTime);
 
     Result<void> startListening();
+    // Ends without marks and without waiting for runs.
+    void shutDown();
     // Answers a request, at once or later.
     void handle(const std::shared_ptr<TargetSession>&, HttpMessage&&);
     void sessionClosed(const std::shared_ptr<TargetSession>&);
 
     const FleetInstance& description() const { return description_; }
-    uint16_t port() const;
 
     // Control calls; each returns the HTTP status.
     unsigned assign(const std::string& pool, uint64_t epoch);
