--- a/shallotdrift/Peers.h
+++ b/shallotdrift/Peers.h
@@ -3,4 +3,5 @@
 
 #include "src/Peers/Gate.h"
 #include "src/Peers/PeerBus.h"
+#include "src/Peers/SnapshotTransfer.h"
 #include "src/Peers/ViewLeaseHolder.h"
--- a/shallotdrift/src/Peers/PeerBus.cpp
+++ b/shallotdrift/src/Peers/PeerBus.cpp
@@ -45,6 +45,9 @@
             // connection of a sender that exceeds even this.
             nng_socket_set_size(listener_, NNG_OPT_RECVMAXSZ, options_.maximumMessageBytes * 2);
             nng_socket_set_ms(listener_, NNG_OPT_RECVTIMEO, static_cast<nng_duration>(maintenanceInterval_.count()));
+            // Heartbeats of all peers can arrive at once; without room for the answers to all of them, connections
+            // that work would look silent to their dialling ends.
+            nng_socket_set_int(listener_, NNG_OPT_SENDBUF, static_cast<int>(maximumInbound));
             nng_pipe_notify(listener_, NNG_PIPE_EV_ADD_PRE, inboundChanged, this);
             nng_pipe_notify(listener_, NNG_PIPE_EV_REM_POST, inboundChanged, this);
             status = nng_listen(listener_, url.c_str(), nullptr, 0);
@@ -98,7 +101,8 @@
 
     PeerBusCounters counters() const
     {
-        return { received_, sent_, bytesReceived_, bytesSent_, unreachable_, oversized_, unparsable_, redials_ };
+        return { received_, sent_, bytesReceived_, bytesSent_, unreachable_, oversized_, unparsable_, redials_,
+            unanswered_ };
     }
 
     void stop()
@@ -161,19 +165,28 @@
     void answer(nng_pipe pipe)
     {
         auto now = BootClock::now();
-        {
-            std::lock_guard lock(inboundMutex_);
-            auto inbound = inbound_.find(pipe.id);
-            if (inbound == inbound_.end())
-                return;
-            inbound->second.heard = now;
-            if (now - inbound->second.answered < keepAliveInterval_)
-                return;
-            inbound->second.answered = now;
-        }
+        if (!answerDue(pipe, now))
+            return;
         auto reply = NngMessage::copyOf(keepAlive_);
         reply.setPipe(pipe);
-        reply.send(listener_, NNG_FLAG_NONBLOCK);
+        // Sent without the lock, as the library calls inboundChanged from threads of its own.
+        if (!reply.send(listener_, NNG_FLAG_NONBLOCK)) {
+            ++unanswered_;
+            return;
+        }
+        std::lock_guard lock(inboundMutex_);
+        if (auto inbound = inbound_.find(pipe.id); inbound != inbound_.end())
+            inbound->second.answered = now;
+    }
+
+    bool answerDue(nng_pipe pipe, Instant now)
+    {
+        std::lock_guard lock(inboundMutex_);
+        auto inbound = inbound_.find(pipe.id);
+        if (inbound == inbound_.end())
+            return false;
+        inbound->second.heard = now;
+        return now - inbound->second.answered >= keepAliveInterval_;
     }
 
     static void inboundChanged(nng_pipe pipe, nng_pipe_ev event, void* bus)
@@ -254,6 +267,7 @@
     std::atomic<uint64_t> oversized_ { 0 };
     std::atomic<uint64_t> unparsable_ { 0 };
     std::atomic<uint64_t> redials_ { 0 };
+    std::atomic<uint64_t> unanswered_ { 0 };
     std::thread thread_;
 };
 
--- a/shallotdrift/src/Peers/PeerBus.h
+++ b/shallotdrift/src/Peers/PeerBus.h
@@ -29,6 +29,7 @@
     uint64_t oversized = 0; // dropped, on either side
     uint64_t unparsable = 0; // dropped on receipt
     uint64_t redials = 0;
+    uint64_t unanswered = 0; // keep-alives that the socket had no room for
 };
 
 // Sends and receives PeerMessages over nng, with a receiving thread of its own.
