Remove data races from the platform tests

Cause: the thread sanitizer saw the tests read what server threads write.

Change: the shared values are read and written under a lock.

--- a/test/PlatformClientTest.cpp
+++ b/test/PlatformClientTest.cpp
@@ -21,16 +21,17 @@
         BrokenPlatform()
         {
             auto answer = [this](const httplib::Request& request, httplib::Response& response) {
-                contentType = request.get_header_value("Content-Type");
                 ++calls;
-                std::this_thread::sleep_for(delay);
+                std::this_thread::sleep_for(delay.load());
                 response.status = status;
                 if (cutOff)
                     response.set_content_provider(1000, "text/plain", [](size_t, size_t, httplib::DataSink& sink) {
                         sink.write("part", 4);
                         return false;
                     });
-                else
+                std::lock_guard lock(mutex);
+                contentType = request.get_header_value("Content-Type");
+                if (!cutOff)
                     response.set_content(body, "text/plain");
             };
             server.Get(".*", answer);
@@ -43,6 +44,18 @@
 
         ~BrokenPlatform() { stop(); }
 
+        void setBody(std::string text)
+        {
+            std::lock_guard lock(mutex);
+            body = std::move(text);
+        }
+
+        std::string lastContentType()
+        {
+            std::lock_guard lock(mutex);
+            return contentType;
+        }
+
         void stop()
         {
             client.reset(); // an open connection would hold the server back until its keep-alive ends
@@ -55,7 +68,8 @@
         std::atomic<int> status { 200 };
         std::atomic<int> calls { 0 };
         std::atomic<bool> cutOff { false };
-        Milliseconds delay { 0 };
+        std::atomic<Milliseconds> delay { Milliseconds(0) };
+        std::mutex mutex;
         std::string body;
         std::string contentType;
         int port = 0;
@@ -89,9 +103,9 @@
     void statusesMapToErrors()
     {
         BrokenPlatform platform;
-        platform.body = appendReply(7);
+        platform.setBody(appendReply(7));
         CPPUNIT_ASSERT_EQUAL(Offset { 7 }, platform.client->append("payload").value());
-        CPPUNIT_ASSERT_EQUAL(std::string("application/x-protobuf"), platform.contentType);
+        CPPUNIT_ASSERT_EQUAL(std::string("application/x-protobuf"), platform.lastContentType());
         static const std::vector<std::pair<int, ResultCode>> forAppend {
             { 400, ResultCode::PlatformRefused },
             { 413, ResultCode::PlatformRefused },
@@ -111,7 +125,7 @@
         Section epochs("an old epoch or token is a refusal");
         platform.status = 409;
         CPPUNIT_ASSERT(codeOf([&] { return platform.client->assign("w", "p", 1); }) == ResultCode::PlatformRefused);
-        CPPUNIT_ASSERT_EQUAL(std::string("application/json"), platform.contentType);
+        CPPUNIT_ASSERT_EQUAL(std::string("application/json"), platform.lastContentType());
         CPPUNIT_ASSERT(codeOf([&] { return platform.client->commandTask("t", TaskCommand::Renew, 1); })
             == ResultCode::PlatformRefused);
         auto calls = platform.calls.load();
@@ -123,7 +137,7 @@
     void connectionFaultsMapToErrors()
     {
         BrokenPlatform platform;
-        platform.body = appendReply(7);
+        platform.setBody(appendReply(7));
         {
             Section cut("an answer that breaks off may belong to a call with an effect");
             platform.cutOff = true;
@@ -139,7 +153,7 @@
         }
         {
             Section large("and one that is too large");
-            platform.body = std::string(1 << 20, 'x');
+            platform.setBody(std::string(1 << 20, 'x'));
             CPPUNIT_ASSERT(codeOf([&] { return platform.client->append("payload"); }) == ResultCode::AnswerLost);
         }
         platform.stop();
@@ -153,10 +167,10 @@
     void brokenLogRepliesAreRefused()
     {
         BrokenPlatform platform;
-        platform.body = "\xff\xff not protobuf";
+        platform.setBody("\xff\xff not protobuf");
         CPPUNIT_ASSERT(codeOf([&] { return platform.client->append("payload"); }) == ResultCode::AnswerLost);
         CPPUNIT_ASSERT(codeOf([&] { return platform.client->read(1, 10, Milliseconds(0)); }) == ResultCode::AnswerLost);
-        platform.body = "";
+        platform.setBody("");
         CPPUNIT_ASSERT(codeOf([&] { return platform.client->append("payload"); }) == ResultCode::AnswerLost);
         CPPUNIT_ASSERT(codeOf([&] { return platform.client->read(1, 10, Milliseconds(0)); }) == ResultCode::AnswerLost);
         static const std::vector<std::pair<std::vector<Offset>, bool>> pages {
@@ -174,7 +188,7 @@
             reply.set_next(9);
             for (auto offset : offsets)
                 reply.add_entries()->set_offset(offset);
-            platform.body = reply.SerializeAsString();
+            platform.setBody(reply.SerializeAsString());
             CPPUNIT_ASSERT_EQUAL(
                 good, codeOf([&] { return platform.client->read(5, 3, Milliseconds(0)); }) == ResultCode::Ok);
         }
@@ -185,7 +199,7 @@
     {
         BrokenPlatform platform;
         auto list = [](const std::string& instance) { return R"({"version":3,"instances":[)" + instance + "]}"; };
-        platform.body = list(goodInstance);
+        platform.setBody(list(goodInstance));
         auto parsed = platform.client->instances();
         CPPUNIT_ASSERT(parsed);
         CPPUNIT_ASSERT_EQUAL(std::string("p"), parsed->instances.front().pool);
@@ -211,7 +225,7 @@
         };
         for (const auto& body : broken) {
             Section section(body.substr(0, 60));
-            platform.body = body;
+            platform.setBody(body);
             CPPUNIT_ASSERT(codeOf([&] { return platform.client->instances(); }) == ResultCode::AnswerLost);
         }
     }
@@ -221,7 +235,7 @@
     {
         BrokenPlatform platform;
         auto list = [](const std::string& task) { return R"({"tasks":[)" + task + "]}"; };
-        platform.body = list(goodTask);
+        platform.setBody(list(goodTask));
         CPPUNIT_ASSERT_EQUAL(uint64_t { 7 }, platform.client->tasks().value().front().memoryMegabytesUsed);
         const std::vector<std::string> broken {
             "{}",
@@ -232,7 +246,7 @@
         };
         for (const auto& body : broken) {
             Section section(body.substr(0, 60));
-            platform.body = body;
+            platform.setBody(body);
             CPPUNIT_ASSERT(codeOf([&] { return platform.client->tasks(); }) == ResultCode::AnswerLost);
         }
     }
--- a/test/PlatformStandinTest.cpp
+++ b/test/PlatformStandinTest.cpp
@@ -56,6 +56,12 @@
             CPPUNIT_ASSERT(result && result->status == 200);
         }
 
+        standin::Reboot lastReboot()
+        {
+            std::lock_guard lock(mutex);
+            return last;
+        }
+
         std::mutex mutex;
         standin::Reboot last;
         std::atomic<int> reboots { 0 };
@@ -176,7 +182,7 @@
         CPPUNIT_ASSERT(assign("q", 3) == ResultCode::Ok);
         CPPUNIT_ASSERT(assign("q", 3) == ResultCode::Ok);
         CPPUNIT_ASSERT_EQUAL(1, platform.reboots.load());
-        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9"), platform.last.address);
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9"), platform.lastReboot().address);
         CPPUNIT_ASSERT(assign("r", 3) == ResultCode::PlatformRefused);
         CPPUNIT_ASSERT(assign("r", 2) == ResultCode::PlatformRefused);
         CPPUNIT_ASSERT(codeOf([&] { return platform.client->reboot("w", 2); }) == ResultCode::PlatformRefused);
@@ -188,7 +194,7 @@
         CPPUNIT_ASSERT(platform.reboots > 2);
         platform.reachable = true;
         CPPUNIT_ASSERT(codeOf([&] { return platform.client->reboot("w", 4); }) == ResultCode::Ok);
-        CPPUNIT_ASSERT(platform.last.pool.empty());
+        CPPUNIT_ASSERT(platform.lastReboot().pool.empty());
     }
 
     // Guards against a former owner that steers a task.
