Close idle platform connections after a failed call

Cause: connections that went silent together were each tried for a whole call timeout before a new one was opened.

Change: a call without an answer closes all idle connections of the client. A test counts the connections; test threads no longer throw.

--- a/shallotdrift/src/Platform/HttpExchange.cpp
+++ b/shallotdrift/src/Platform/HttpExchange.cpp
@@ -50,6 +50,15 @@
         idle_.push_back(std::move(connection));
 }
 
+// What silenced one connection, for example a failed switch, has often silenced the others as well; each would cost a
+// whole timeout to find out.
+void HttpExchange::closeIdle()
+{
+    std::vector<std::unique_ptr<httplib::Client>> closed;
+    std::lock_guard lock(mutex_);
+    closed.swap(idle_);
+}
+
 Result<std::string> HttpExchange::call(const HttpCall& call)
 {
     httplib::Request request;
@@ -77,6 +86,8 @@
     auto result = connection->send(request);
     if (result)
         putBack(std::move(connection));
+    else
+        closeIdle();
     return interpret(call, result, std::move(body), tooLarge);
 }
 
--- a/shallotdrift/src/Platform/HttpExchange.h
+++ b/shallotdrift/src/Platform/HttpExchange.h
@@ -26,7 +26,7 @@
 };
 
 // Sends calls to one address and maps every outcome to a reply body or one of the three platform errors.
-// A connection is used by one call at a time, and is closed after a call that failed.
+// A connection is used by one call at a time. After a call that failed, it and all idle connections are closed.
 class HttpExchange {
 public:
     explicit HttpExchange(PlatformOptions);
@@ -36,6 +36,7 @@
 private:
     std::unique_ptr<httplib::Client> takeConnection();
     void putBack(std::unique_ptr<httplib::Client>);
+    void closeIdle();
     Result<std::string> interpret(const HttpCall&, const httplib::Result&, std::string&& body, bool tooLarge) const;
 
     PlatformOptions options_;
--- a/test/PlatformClientTest.cpp
+++ b/test/PlatformClientTest.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <httplib.h>
 #include <platform.pb.h>
+#include <set>
 
 namespace shallotdrift {
 
@@ -31,6 +32,7 @@
                     });
                 std::lock_guard lock(mutex);
                 contentType = request.get_header_value("Content-Type");
+                clientPorts.insert(request.remote_port);
                 if (!cutOff)
                     response.set_content(body, "text/plain");
             };
@@ -56,6 +58,13 @@
             return contentType;
         }
 
+        // Of all connections so far.
+        std::set<int> ports()
+        {
+            std::lock_guard lock(mutex);
+            return clientPorts;
+        }
+
         void stop()
         {
             client.reset(); // an open connection would hold the server back until its keep-alive ends
@@ -72,6 +81,7 @@
         std::mutex mutex;
         std::string body;
         std::string contentType;
+        std::set<int> clientPorts;
         int port = 0;
         std::thread thread;
         std::unique_ptr<PlatformClient> client;
@@ -151,6 +161,22 @@
             CPPUNIT_ASSERT(codeOf([&] { return platform.client->append("payload"); }) == ResultCode::AnswerLost);
             platform.delay = Milliseconds(0);
         }
+        {
+            Section silent("after a failure, other idle connections are not used any more either");
+            platform.delay = Milliseconds(50); // so that the calls overlap
+            std::atomic<bool> answered { false };
+            std::thread parallel([&] { answered = bool(platform.client->append("payload")); });
+            CPPUNIT_ASSERT(platform.client->append("payload"));
+            parallel.join();
+            CPPUNIT_ASSERT(answered);
+            platform.delay = Milliseconds(0);
+            platform.cutOff = true;
+            CPPUNIT_ASSERT(codeOf([&] { return platform.client->append("payload"); }) == ResultCode::AnswerLost);
+            platform.cutOff = false;
+            auto earlier = platform.ports();
+            CPPUNIT_ASSERT(platform.client->append("payload"));
+            CPPUNIT_ASSERT_EQUAL(earlier.size() + 1, platform.ports().size());
+        }
         {
             Section large("and one that is too large");
             platform.setBody(std::string(1 << 20, 'x'));
--- a/test/PlatformStandinTest.cpp
+++ b/test/PlatformStandinTest.cpp
@@ -102,13 +102,14 @@
         options.appendsPerSecond = 3;
         Platform platform(options);
         auto begin = BootClock::now();
+        std::atomic<bool> appended { false };
         std::thread appender([&] {
             std::this_thread::sleep_for(Milliseconds(50));
-            CPPUNIT_ASSERT(platform.client->append("a"));
+            appended = bool(platform.client->append("a"));
         });
         auto page = platform.client->read(1, 10, Milliseconds(5000));
         appender.join();
-        CPPUNIT_ASSERT(page);
+        CPPUNIT_ASSERT(page && appended);
         CPPUNIT_ASSERT_EQUAL(std::string("a"), page->items.front().payload);
         CPPUNIT_ASSERT(BootClock::now() - begin < Milliseconds(2000));
         CPPUNIT_ASSERT(platform.client->append("b"));
