Expect the drain at the first step of the sample

The sample handbook drain-zone lost its first step, and the test still named the second one, so checkConfigReportsFilesAndCommandMistakes failed.

--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -202,7 +202,7 @@
         CPPUNIT_ASSERT_EQUAL(502U,
             runCheckConfigCommand(
                 { "samples/karoo/handbook-drain-zone.ini", "samples/chamber/fleet.ini" }, output, errors));
-        assertMistake(errors.str(), "samples/karoo/handbook-drain-zone.ini:1: [step 2] names zone jb-1");
+        assertMistake(errors.str(), "samples/karoo/handbook-drain-zone.ini:1: [step 1] names zone jb-1");
     }
 };
 
