Plan all steps of a rehearsal before its waves are played

A rehearsal played a wave forward before it planned the steps after it, so these saw instances closed that an invocation, which submits all steps at once, still takes. A property test over random fleets and entries found it: RC_PARAMS=max_success=3000 build/shallotdrift-tests OperatorProp failed.

Waves are played when all steps are planned. The same run passes 3000 cases, and rehearsalForetellsTheInvocation, which now lends after a drain, fails with the former order.

--- a/shallotdrift/src/Operators/Rehearsal.cpp
+++ b/shallotdrift/src/Operators/Rehearsal.cpp
@@ -125,15 +125,22 @@
     const std::string& wave_;
 };
 
-static void addStep(const PlannedStep& planned, FoldTrial& trial, proto::RehearseReply& reply)
+static void addStep(const PlannedStep& planned, proto::RehearseReply& reply)
 {
     auto& step = *reply.add_steps();
     step.set_action(planned.action);
     step.set_result_code(static_cast<uint32_t>(planned.expected.code));
     step.set_message(textOf(planned.expected));
-    bool startsWave = planned.record && planned.record->has_wave_started();
-    if (startsWave && planned.expected.code == ResultCode::Ok)
-        step.set_message(WaveRehearsal(trial, planned.id).run());
+}
+
+// Waves go on after the invocation, which submits all steps at once, so they are played when all steps are planned.
+static void playWaves(const std::vector<PlannedStep>& steps, FoldTrial& trial, proto::RehearseReply& reply)
+{
+    for (size_t i = 0; i < steps.size(); ++i) {
+        bool startsWave = steps[i].record && steps[i].record->has_wave_started();
+        if (startsWave && steps[i].expected.code == ResultCode::Ok)
+            reply.mutable_steps(static_cast<int>(i))->set_message(WaveRehearsal(trial, steps[i].id).run());
+    }
 }
 
 static void addBudgets(const std::map<std::string, PoolFigures>& before,
@@ -153,11 +160,10 @@
     proto::RehearseReply reply;
     const auto before = figuresOfPools(input.trial->state());
     const OperatorChange change { rehearsalId, rehearsalId, {} };
-    StepPlanner planner(*input.trial, change, rehearsalId);
-    for (size_t i = 0; i < plan.steps.size(); ++i) {
-        for (const auto& planned : planner.plan(plan.steps[i], fmt::format("{}.s{}", rehearsalId, i + 1)))
-            addStep(planned, *input.trial, reply);
-    }
+    const auto steps = StepPlanner(*input.trial, change, rehearsalId).plan(plan);
+    for (const auto& step : steps)
+        addStep(step, reply);
+    playWaves(steps, *input.trial, reply);
     addBudgets(before, figuresOfPools(input.trial->state()), reply);
     reply.set_version(input.version);
     reply.set_message(fmt::format("rehearsal of version {}: nothing was submitted", input.version));
--- a/test/OperatorHandlerTest.cpp
+++ b/test/OperatorHandlerTest.cpp
@@ -238,7 +238,8 @@
         propose("c-1", 0,
             floodHandbook
                 + "[step 2]\naction = lend\nfrom = reports\nto = archive\ncount = 2\n"
-                  "[step 3]\naction = drain\nzone = zb\n[step 4]\naction = wave\npool = archive\n");
+                  "[step 3]\naction = drain\nzone = zb\n[step 4]\naction = wave\npool = archive\n"
+                  "[step 5]\naction = lend\nfrom = archive\nto = reports\ncount = 2\n");
         review("bea", "c-2", 1);
         auto offset = log_.fold.offset();
         proto::RehearseRequest request;
