List all unknown names of a handbook entry, and print the id in JSON runs

A proposed entry with several unknown pools was refused with the first one alone, and a script that lost the answer of a change had no id to repeat it.

--- a/shallotdrift/src/Operators/Explainer.cpp
+++ b/shallotdrift/src/Operators/Explainer.cpp
@@ -165,8 +165,8 @@
     const auto& entry = position->second;
     facts.push_back(fmt::format("handbook entry {} has version {} by {}", name, entry.version, entry.author));
     if (!entry.reviewer.empty())
-        facts.push_back(
-            fmt::format("{} was {} by {}", entry.version, entry.approved ? "approved" : "rejected", entry.reviewer));
+        facts.push_back(fmt::format(
+            "version {} was {} by {}", entry.version, entry.approved ? "approved" : "rejected", entry.reviewer));
     facts.push_back(entry.approvedVersion ? fmt::format("version {} can be invoked", entry.approvedVersion)
                                           : "no version is approved, so it cannot be invoked");
     for (const auto& [id, invocation] : state.invocations) {
--- a/shallotdrift/src/Operators/OperatorCommands.cpp
+++ b/shallotdrift/src/Operators/OperatorCommands.cpp
@@ -79,8 +79,8 @@
     internal::OperatorClient::Method<Request, proto::ChangeReply> method, Request request)
 {
     context.fill(*request.mutable_change());
-    if (!context.options.json)
-        context.output << "change id " << context.changeId << "\n" << std::flush;
+    // Before the call, so that the id is known when the answer gets lost.
+    (context.options.json ? context.errors : context.output) << "change id " << context.changeId << "\n" << std::flush;
     return callAndPrint(context, method, request);
 }
 
--- a/shallotdrift/src/Operators/OperatorHandler.cpp
+++ b/shallotdrift/src/Operators/OperatorHandler.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <optional>
 
 namespace shallotdrift {
@@ -166,7 +167,9 @@
                 auto mistakes = mistakesOf([&]() -> Result<void> {
                     BOOST_LEAF_AUTO(plan, parseHandbook(request.ini(), request.name()));
                     auto unknown = unknownNames(plan, configuration);
-                    return unknown.empty() ? Result<void>() : fail(ResultCode::InvalidHandbook, unknown.front());
+                    return unknown.empty()
+                        ? Result<void>()
+                        : fail(ResultCode::InvalidHandbook, fmt::format("{}", fmt::join(unknown, "\n")));
                 });
                 if (!mistakes.empty())
                     return refusedSteps(action, ResultCode::InvalidHandbook, mistakes);
--- a/shallotdrift/src/Settings/CheckConfigCommand.cpp
+++ b/shallotdrift/src/Settings/CheckConfigCommand.cpp
@@ -57,7 +57,8 @@
                 message += fmt::format("{}{}:1: {}", message.empty() ? "" : "\n", path, mistake);
             if (!message.empty())
                 return fail(ResultCode::InvalidHandbook, message);
-            return fmt::format("handbook entry with {} steps: {}", plan.steps.size(), plan.title);
+            return fmt::format(
+                "handbook entry, {}, {} {}", plan.title, plan.steps.size(), plan.steps.size() == 1 ? "step" : "steps");
         });
     }
 
