--- a/shallotdrift/src/Operators/StatusPage.cpp
+++ b/shallotdrift/src/Operators/StatusPage.cpp
@@ -2,6 +2,10 @@
 
 #include "PoolFigures.h"
 
+#include <array>
+#include <string>
+#include <string_view>
+
 namespace shallotdrift::internal {
 
 static void addPools(const FleetState& state, proto::StatusReply& reply)
@@ -33,14 +37,22 @@
     }
 }
 
+static std::string_view statusText(WaveStatus status)
+{
+    static constexpr std::array<std::string_view, 4> texts { "running", "paused", "aborted, ending", "ending" };
+    return texts.at(static_cast<size_t>(status));
+}
+
 static void addWaves(const FleetState& state, proto::StatusReply& reply)
 {
     for (const auto& [id, wave] : state.waves) {
-        if (wave.status != WaveStatus::Running && wave.status != WaveStatus::Paused)
+        // An aborted wave is under way until the instances that were rebooting are back in service.
+        bool open = wave.status == WaveStatus::Running || wave.status == WaveStatus::Paused;
+        if (!open && wave.active.empty())
             continue;
         auto& line = *reply.add_waves();
         line.set_wave_id(id);
-        line.set_status(wave.status == WaveStatus::Running ? "running" : "paused");
+        line.set_status(std::string(statusText(wave.status)));
         line.set_pending(static_cast<uint32_t>(wave.pending.size()));
         line.set_active(static_cast<uint32_t>(wave.active.size()));
         line.set_done(static_cast<uint32_t>(wave.done.size()));
--- a/test/FoldAccess.h
+++ b/test/FoldAccess.h
@@ -107,6 +107,21 @@
         }
     }
 
+    // Starts a wave over the accounts and closes one of its instances.
+    void startClosedMaintenance(const std::string& instance, const std::string& wave)
+    {
+        proto::Record record;
+        record.mutable_wave_started()->set_wave_id(wave);
+        record.mutable_wave_started()->set_pool("accounts");
+        add(record);
+        record.mutable_maintenance_started()->set_wave_id(wave);
+        record.mutable_maintenance_started()->set_instance(instance);
+        record.mutable_maintenance_started()->set_expected_epoch(fold.state().instances.at(instance).epoch);
+        add(record);
+        for (const auto& gate : std::set<std::string>(fold.state().waves.at(wave).active.at(instance).pendingGates))
+            acknowledge(wave + "/" + instance, gate);
+    }
+
     uint32_t available(const std::string& pool) const { return availableInPool(fold.state(), pool); }
 
 private:
--- a/test/OperatorHandlerTest.cpp
+++ b/test/OperatorHandlerTest.cpp
@@ -278,6 +278,11 @@
         assertCode(ResultCode::NotFound, changeWave("c-4", "w-9", "abort"));
         assertCode(ResultCode::Ok, changeWave("c-5", "w-1", "abort"));
         assertCode(ResultCode::WrongState, changeWave("c-6", "w-1", "resume"));
+        Section ending("an aborted wave is shown until its last instance is back in service");
+        CPPUNIT_ASSERT_EQUAL(0, handler_.status({}).waves_size());
+        log_.startClosedMaintenance("accounts-1", "w-2");
+        assertCode(ResultCode::Ok, changeWave("c-7", "w-2", "abort"));
+        CPPUNIT_ASSERT_EQUAL(std::string("aborted, ending"), handler_.status({}).waves(0).status());
         Section drains("a drain takes a zone or instances, not both and not neither");
         proto::DrainRequest drain;
         *drain.mutable_change() = changeBy("ana", "d-1");
