--- a/test/OperatorHandlerTest.cpp
+++ b/test/OperatorHandlerTest.cpp
@@ -238,7 +238,8 @@
         propose("c-1", 0,
             floodHandbook
                 + "[step 2]\naction = lend\nfrom = reports\nto = archive\ncount = 2\n"
-                  "[step 3]\naction = drain\nzone = zb\n[step 4]\naction = wave\npool = archive\n");
+                  "[step 3]\naction = drain\nzone = zb\n[step 4]\naction = wave\npool = archive\n"
+                  "[step 5]\naction = lend\nfrom = archive\nto = reports\ncount = 2\n");
         review("bea", "c-2", 1);
         auto offset = log_.fold.offset();
         proto::RehearseRequest request;
@@ -277,6 +278,11 @@
         assertCode(ResultCode::NotFound, changeWave("c-4", "w-9", "abort"));
         assertCode(ResultCode::Ok, changeWave("c-5", "w-1", "abort"));
         assertCode(ResultCode::WrongState, changeWave("c-6", "w-1", "resume"));
+        Section ending("an aborted wave is shown until its last instance is back in service");
+        CPPUNIT_ASSERT_EQUAL(0, handler_.status({}).waves_size());
+        log_.startClosedMaintenance("accounts-1", "w-2");
+        assertCode(ResultCode::Ok, changeWave("c-7", "w-2", "abort"));
+        CPPUNIT_ASSERT_EQUAL(std::string("aborted, ending"), handler_.status({}).waves(0).status());
         Section drains("a drain takes a zone or instances, not both and not neither");
         proto::DrainRequest drain;
         *drain.mutable_change() = changeBy("ana", "d-1");
