--- a/shallotdrift/src/Policy/AdmissionOrder.cpp
+++ b/shallotdrift/src/Policy/AdmissionOrder.cpp
@@ -19,6 +19,10 @@
     // Offered load of a kind that had no request for some seconds.
     constexpr double negligibleSlots = 0.01;
 
+    constexpr double catchUpFactor = 2;
+    // Room for a kind's next requests, in standard deviations of the number of slots that they use.
+    constexpr double reserveDeviations = 1.5;
+
     class SharesAndUrgencyOrder final : public AdmissionOrder {
     public:
         AdmissionQueue::Earlier earlier() const override { return earlierDeadline; }
@@ -47,7 +51,8 @@
                 double offered = kind->offered.at(now);
                 if (kind->configuration.urgency == Urgency::Bulk || offered < negligibleSlots)
                     continue;
-                double likely = std::min(offered + std::sqrt(offered), kind->configuration.guaranteedShare * slots);
+                double likely = std::min(
+                    offered + reserveDeviations * std::sqrt(offered), kind->configuration.guaranteedShare * slots);
                 reserve += std::max(0.0, likely - kind->usage.current());
             }
             return reserve <= 0 || pool.running() + reserve < pool.shareSlots();
@@ -60,8 +65,8 @@
             return earlierDeadline(*a.queue.first(), *b.queue.first());
         }
 
-        // A kind is below its share only when both its average over the last second and its present use are, so that
-        // a kind that starts after a pause is not served ahead of all others for a whole second.
+        // The share counts over the last second, so that a kind may catch up after a pause. Its present use is limited
+        // to twice the share, or it would be served ahead of all others for most of that second.
         static KindState* mostBelowShare(const PoolState& pool, Instant now)
         {
             double slots = pool.effectiveSlots();
@@ -71,9 +76,8 @@
                 if (kind->queue.empty() || kind->configuration.guaranteedShare <= 0)
                     continue;
                 double guaranteed = kind->configuration.guaranteedShare * slots;
-                double used = std::max<double>(kind->usage.average(now), kind->usage.current());
-                double deficit = (guaranteed - used) / guaranteed;
-                if (deficit > largest) {
+                double deficit = (guaranteed - kind->usage.average(now)) / guaranteed;
+                if (deficit > largest && kind->usage.current() < catchUpFactor * guaranteed) {
                     largest = deficit;
                     best = kind;
                 }
--- a/shallotdrift/src/Replay/Measures.cpp
+++ b/shallotdrift/src/Replay/Measures.cpp
@@ -5,6 +5,7 @@
 
 namespace shallotdrift::internal {
 
+// The guaranteed shares hold over a sliding second.
 static constexpr Microseconds windowLength = std::chrono::seconds(1);
 
 static double secondsOf(Microseconds time) { return std::chrono::duration<double>(time).count(); }
@@ -94,15 +95,17 @@
         request, [](KindReport& kind, ResultCode) { ++kind.cancelled; }, ResultCode::Cancelled);
 }
 
-void Measures::sampleUse(const std::string& kind, uint32_t poolSlots, const KindUse& use, Microseconds now)
+void Measures::sampleUse(
+    const std::string& kind, uint32_t poolSlots, const KindUse& use, Microseconds now, Microseconds interval)
 {
     const auto& configuration = trace_.configuration.kinds.at(kind);
-    // Refused work was demand too; it would have held slots for its run time.
-    double demand = use.open + use.refusedInSecond * secondsOf(configuration.expectedRuntime);
-    double due = std::min(configuration.guaranteedShare * poolSlots, demand);
     auto& window = windows_[kind][now / windowLength];
-    window.due += due;
-    window.kept += std::min<double>(due, use.running);
+    window.guaranteed += configuration.guaranteedShare * poolSlots * secondsOf(interval);
+    window.used += use.running * secondsOf(interval);
+    // The last sample of a second counts. A request that waits could have used one slot for at most the second.
+    double waiting = use.open - std::min(use.open, use.running + use.lost);
+    double each = std::min(secondsOf(configuration.expectedRuntime), secondsOf(windowLength));
+    window.unserved = (waiting + use.refusedInSecond) * each;
 }
 
 double Measures::guaranteedKept(const std::string& kind, Microseconds from, Microseconds to) const
@@ -115,8 +118,9 @@
     for (const auto& [number, window] : windows->second) {
         if (windowLength * number < from || windowLength * number >= to)
             continue;
-        due += window.due;
-        kept += window.kept;
+        double dueInWindow = std::min(window.guaranteed, window.used + window.unserved);
+        due += dueInWindow;
+        kept += std::min(dueInWindow, window.used);
     }
     return due > 0 ? kept / due : 1;
 }
--- a/shallotdrift/src/Replay/Measures.h
+++ b/shallotdrift/src/Replay/Measures.h
@@ -13,6 +13,7 @@
 struct KindUse {
     uint32_t open = 0; // arrived and not ended
     uint32_t running = 0; // on instances
+    uint32_t lost = 0; // on instances that died, without an answer yet
     uint32_t refusedInSecond = 0; // in the last second
 };
 
@@ -25,17 +26,19 @@
     // The final attempt ended; late answers count as failures.
     void completed(size_t request, ResultCode, bool inTime, Microseconds startDelay);
     void cancelled(size_t request);
-    // Slots of the pool and their use by a kind, for the guaranteed shares; to be called at equal intervals.
-    void sampleUse(const std::string& kind, uint32_t poolSlots, const KindUse&, Microseconds now);
+    // Slots of the pool and their use by a kind, for the guaranteed shares; to be called at each interval.
+    void sampleUse(
+        const std::string& kind, uint32_t poolSlots, const KindUse&, Microseconds now, Microseconds interval);
 
     ReplayReport& report() { return report_; }
     ReplayReport finish();
 
 private:
-    // Slots that the guaranteed share entitled to, and those in use of them, summed over the samples of a second.
+    // Use of slots in one second, in slot-seconds.
     struct Window {
-        double due = 0;
-        double kept = 0;
+        double guaranteed = 0;
+        double used = 0;
+        double unserved = 0; // work that waits at the end, or was refused
     };
 
     void endedBadJob(size_t request, ResultCode);
--- a/shallotdrift/src/Replay/Simulation.cpp
+++ b/shallotdrift/src/Replay/Simulation.cpp
@@ -231,6 +231,8 @@
     if (attempt.closed)
         return;
     attempt.closed = true;
+    if (attempt.lost)
+        --uses_[trace_.requests[attempt.request].kind].lost;
     --attempt.instance->outstanding;
 }
 
@@ -290,6 +292,10 @@
         --instance.running;
     if (attempt.code == ResultCode::AnswerTimeout)
         return; // its answer at the deadline is scheduled
+    if (lost && !attempt.closed) {
+        attempt.lost = true;
+        ++uses_[trace_.requests[attempt.request].kind].lost;
+    }
     if (lost)
         answerAt(attempt.deadline, static_cast<uint32_t>(entry), number, ResultCode::AnswerTimeout, true);
     else
@@ -441,7 +447,8 @@
     for (const auto& [name, kind] : trace_.configuration.kinds) {
         auto& use = uses_[name];
         use.refusedInSecond = refusalsInSecond(name);
-        measures_.sampleUse(name, pools[kind.pool].slots, use, sinceStart(queue_.now()));
+        measures_.sampleUse(name, pools[kind.pool].slots, use, sinceStart(queue_.now()),
+            std::chrono::duration_cast<Microseconds>(sampleInterval));
     }
     double seconds = std::chrono::duration<double>(sampleInterval).count();
     double utilization = trace_.configuration.lending.targetUtilization;
--- a/shallotdrift/src/Replay/Simulation.h
+++ b/shallotdrift/src/Replay/Simulation.h
@@ -31,6 +31,7 @@
         Instant deadline {};
         ResultCode code = ResultCode::Ok;
         bool bytesSent = true;
+        bool lost = false; // its instance died
         bool closed = false; // answered or abandoned
     };
     struct Entry {
--- a/shallotdrift/src/Replay/TraceGenerator.cpp
+++ b/shallotdrift/src/Replay/TraceGenerator.cpp
@@ -94,7 +94,7 @@
     void queuesInTurn(Draft& draft)
     {
         double at = 10;
-        for (int cycle = 1; cycle <= 4; ++cycle) {
+        for (int cycle = 1; cycle <= 3; ++cycle) {
             double end = draft.floodsInTurn(at, 20, 2);
             draft.phase(fmt::format("cycle {}", cycle), at, end);
             at = end;
@@ -105,7 +105,7 @@
     void shortFloodsInTurn(Draft& draft)
     {
         double at = 10;
-        for (int cycle = 1; cycle <= 4; ++cycle) {
+        for (int cycle = 1; cycle <= 3; ++cycle) {
             double end = draft.floodsInTurn(at, 8, 12);
             draft.phase(fmt::format("cycle {}", cycle), at, end);
             at = end;
@@ -117,7 +117,7 @@
     void randomFloods(Draft& draft)
     {
         double at = 10;
-        for (int flood = 0; flood < 20; ++flood) {
+        for (int flood = 0; flood < 14; ++flood) {
             double length = draft.sampler.between(6, 30);
             auto number = static_cast<size_t>(draft.sampler.uniform() * static_cast<double>(draft.model.kinds.size()));
             const auto& kind = draft.model.kinds[std::min(number, draft.model.kinds.size() - 1)];
@@ -156,7 +156,7 @@
     void zoneLost(Draft& draft)
     {
         draft.baseFactor = 1;
-        draft.phase("calm", 5, 30);
+        draft.phase("calm", 5, 25);
         draft.phase("zone lost", 32, 60);
         draft.phase("returned", 65, 85);
         TraceEvent zone;
