--- a/shallotdrift/src/Entry/EntryProcess.cpp
+++ b/shallotdrift/src/Entry/EntryProcess.cpp
@@ -46,8 +46,7 @@
     bool postCaller(CallerRequest&& request) { return core_.tryPost(std::move(request)); }
     Offset postPage(LogPage&&);
     void onCore(const std::function<void()>&);
-    template <typename Condition>
-    bool waitFor(Condition, Milliseconds limit);
+    template <typename Condition> bool waitFor(Condition, Milliseconds limit);
     void stopThreads();
 
     EntrySettings settings_;
@@ -208,7 +207,8 @@
     BOOST_LEAF_CHECK(metricsServer_.start());
     BOOST_LEAF_CHECK(operators_.start());
     BOOST_LEAF_CHECK(callers_.start());
-    logger("core")->info("entry {} of zone {} serves callers on {}", settings_.id, settings_.zone, settings_.callerAddress);
+    logger("core")->info(
+        "entry {} of zone {} serves callers on {}", settings_.id, settings_.zone, settings_.callerAddress);
     return {};
 }
 
@@ -224,8 +224,7 @@
         future.wait();
 }
 
-template <typename Condition>
-bool EntryProcess::Implementation::waitFor(Condition condition, Milliseconds limit)
+template <typename Condition> bool EntryProcess::Implementation::waitFor(Condition condition, Milliseconds limit)
 {
     Instant end = BootClock::now() + limit;
     while (!condition()) {
@@ -240,7 +239,6 @@
 {
     if (!running_)
         return;
-    Instant begin = BootClock::now();
     onCore([this] { core_.beginStop(); });
     callers_.beginDrain();
     std::this_thread::sleep_for(settings_.stopGrace);
@@ -252,13 +250,11 @@
             return coreIdle && !callers_.openRequests();
         },
         settings_.stopLimit);
-    if (!idle)
-        logger("core")->warn("{} requests did not end within the stop limit", callers_.openRequests());
-    // View leases that this entry granted must lapse while it still holds back acknowledgements for its zone.
-    auto elapsed = BootClock::now() - begin;
-    if (elapsed < settings_.viewLease)
-        std::this_thread::sleep_for(settings_.viewLease - elapsed);
-    onCore([this] { core_.leave(); });
+    // An entry that cannot tell that its leases are unused stays a member; it is removed once the list shows it gone.
+    if (idle)
+        onCore([this] { core_.leave(); });
+    else
+        logger("core")->warn("stop limit reached with {} open requests or leases in use", callers_.openRequests());
     if (!writer_.flush(leaveTimeout))
         logger("core")->warn("the log did not take the last records in time");
     stopThreads();
@@ -294,15 +290,9 @@
 
 EntryProcess::~EntryProcess() = default;
 
-Result<void> EntryProcess::start()
-{
-    return implementation_->start();
-}
+Result<void> EntryProcess::start() { return implementation_->start(); }
 
-void EntryProcess::stop()
-{
-    implementation_->stop();
-}
+void EntryProcess::stop() { implementation_->stop(); }
 
 int runEntry(const EntrySettings& settings)
 {
--- a/test/FoldLog.h
+++ b/test/FoldLog.h
@@ -12,6 +12,9 @@
 
 namespace shallotdrift {
 
+// A handbook entry that parses.
+inline constexpr const char* returnHandbook = "[handbook]\ntitle = Return\nwhen = always\n[step 1]\naction = return\n";
+
 // Texts of configurations for the tests, in the format of the Settings module.
 struct TestFleet {
     std::vector<std::string> zones { "north", "south" };
@@ -31,7 +34,7 @@
         text += fmt::format("[kind check]\npool = {}\nurgency = urgent\n", pool);
         text += fmt::format("[kind ledger]\npool = {}\nlong_running = yes\nurgency = bulk\n", pool);
         text += "[team surveyors]\nslot_quota = 8\n";
-        return text + fmt::format("[timing]\nkey_window_ms = {}\n", keyWindowMilliseconds);
+        return text + fmt::format("[limits]\nkey_window_s = {}\n", keyWindowMilliseconds / 1000);
     }
 };
 
@@ -48,11 +51,13 @@
 
     proto::Record stamped(proto::Record record)
     {
-        if (!record.has_id()) {
-            record.mutable_id()->set_writer(writer);
-            record.mutable_id()->set_boot(boot);
-            record.mutable_id()->set_sequence(++sequences_[{ writer, boot }]);
+        auto& id = *record.mutable_id();
+        if (id.writer().empty()) {
+            id.set_writer(writer);
+            id.set_boot(boot);
         }
+        if (id.sequence() == 0)
+            id.set_sequence(++sequences_[{ id.writer(), id.boot() }]);
         if (record.written_ms() == 0)
             record.set_written_ms(nowMilliseconds);
         if (record.actor().empty())
