--- a/bench/FoldBench.cpp
+++ b/bench/FoldBench.cpp
@@ -2,7 +2,6 @@
 #include "shallotdrift/Base.h"
 #include "shallotdrift/Fold.h"
 
-#include "../test/SettingsStandIn.h"
 #include "../test/TestFleet.h"
 
 #include <cstdlib>
--- a/shallotdrift/Peers.h
+++ b/shallotdrift/Peers.h
@@ -3,5 +3,4 @@
 
 #include "src/Peers/Gate.h"
 #include "src/Peers/PeerBus.h"
-#include "src/Peers/SnapshotTransfer.h"
 #include "src/Peers/ViewLeaseHolder.h"
--- a/shallotdrift/src/Fold/MoveHandlers.cpp
+++ b/shallotdrift/src/Fold/MoveHandlers.cpp
@@ -197,6 +197,9 @@
     auto& move = known->second;
     if (hasEnded(move))
         return refused(ResultCode::NothingToDo, "the move has ended");
+    // An entry may be assigning the closed instance to its new pool, so the old pool must not send to it again.
+    if (move.status == MoveStatus::Closed)
+        return refused(ResultCode::WrongState, "all gate entries have acknowledged; the move can only be granted");
     auto& instance = data.state.instances.at(move.instance);
     reopenInstance(instance, context.offset);
     endMove(data, move, MoveStatus::Aborted);
