Lower the limit on kept request keys to 60,000

Cause: at 280 bytes a key, 100,000 keys would take 28 MB of the 32 MB that control may cost a node. Change: maximumKeys is 60,000, which is 66 keys a second over the window of 15 minutes.

--- a/shallotdrift/src/Fold/FoldLimits.h
+++ b/shallotdrift/src/Fold/FoldLimits.h
@@ -27,7 +27,9 @@
 constexpr size_t maximumInvocations = 1000;
 constexpr size_t maximumRunningWaves = 64;
 constexpr size_t maximumOpenTasks = 4000;
-constexpr size_t maximumKeys = 100000;
+// 66 keys a second over the window of 15 minutes. FoldBench measures 280 bytes for a key with a receipt of 64 bytes, so
+// that the limit keeps the state within the 32 MB that control may cost a node.
+constexpr size_t maximumKeys = 60000;
 constexpr size_t maximumAuditEvents = 2000;
 constexpr size_t maximumEndedMoves = 500;
 constexpr size_t maximumEndedWaves = 100;
