Replay waves through the wave planner

Cause: the replay planned maintenances itself until the wave planner was there, and an instance that died in its reboot and came back stayed in maintenance for ever. Change: FoldFleet calls planMaintenance(); a reboot ends when its instance is back; the best possible roll-out counts the time in which losses alone use up a pool's budget, since no planner may take instances then.

--- a/shallotdrift/src/Replay/FleetDriver.cpp
+++ b/shallotdrift/src/Replay/FleetDriver.cpp
@@ -148,8 +148,11 @@
         return;
     auto& operation = position->second;
     auto& instance = instances_.at(operation.instance);
-    if (instance.dead)
-        return; // given up after the time limit of moves
+    if (instance.dead) {
+        // Ends when the instance is back, unless the operation is given up before.
+        queue_.schedule<&FleetDriver::finishReboot>(queue_.now() + pollInterval, this, number);
+        return;
+    }
     instance.rebooting = false;
     if (operation.isMove) {
         model_->grantMove(operation.id, queue_.now());
@@ -164,6 +167,7 @@
 
 void FleetDriver::planWaves(uint64_t, uint64_t)
 {
+    noteLosses();
     for (auto& planned : model_->planMaintenance()) {
         Operation operation;
         operation.id = planned.wave + "/" + planned.instance;
@@ -251,13 +255,26 @@
     change_();
 }
 
-double FleetDriver::bestSeconds(const std::string& waveId) const
+void FleetDriver::noteLosses()
+{
+    std::map<std::string, uint32_t> present; // home instances; lending is a choice and no loss
+    for (const auto& [id, instance] : state().instances)
+        present[instance.homePool] += instance.lost ? 0 : 1;
+    for (auto& wave : waves_) {
+        for (auto& [pool, seconds] : wave.bestSeconds) {
+            if (present[pool] <= state().configuration.pools.at(pool).minimumAvailable)
+                seconds += secondsOf(waveInterval);
+        }
+    }
+}
+
+std::map<std::string, double> FleetDriver::bestSeconds(const std::string& waveId) const
 {
     // One rack of a pool after the other, within the budget of the pool's home instances. Each round lasts as long as
     // the maintenance and the expected run time of the work that drains first.
     const auto& state = model_->state();
     const auto& selected = state.waves.at(waveId).pending;
-    double longest = 0;
+    std::map<std::string, double> best;
     for (const auto& [name, pool] : state.configuration.pools) {
         std::map<std::string, uint32_t> racks;
         uint32_t home = 0;
@@ -277,9 +294,9 @@
             if (kind.pool == name && !kind.longRunning)
                 drain = std::max(drain, kind.expectedRuntime);
         }
-        longest = std::max(longest, rounds * secondsOf(trace_.environment.maintenanceTime + drain));
+        best[name] = rounds * secondsOf(trace_.environment.maintenanceTime + drain);
     }
-    return longest;
+    return best;
 }
 
 void FleetDriver::noteWaveEnds()
@@ -293,7 +310,9 @@
         double seconds = secondsOf(queue_.now() - wave->startedAt);
         if (seconds > report_.rolloutSeconds) {
             report_.rolloutSeconds = seconds;
-            report_.bestRolloutSeconds = wave->bestSeconds;
+            report_.bestRolloutSeconds = 0;
+            for (const auto& [pool, best] : wave->bestSeconds)
+                report_.bestRolloutSeconds = std::max(report_.bestRolloutSeconds, best);
         }
         wave = waves_.erase(wave);
     }
--- a/shallotdrift/src/Replay/FleetDriver.h
+++ b/shallotdrift/src/Replay/FleetDriver.h
@@ -44,7 +44,8 @@
     struct RunningWave {
         std::string id;
         Instant startedAt {};
-        double bestSeconds = 0;
+        // Least time that each pool's budget allows: its rounds, and the time in which losses alone used up the budget.
+        std::map<std::string, double> bestSeconds;
     };
 
     // Events.
@@ -61,7 +62,8 @@
     void advance(Operation&);
     void giveUp(Operation&);
     void checkBudget(const std::string& pool);
-    double bestSeconds(const std::string& waveId) const;
+    std::map<std::string, double> bestSeconds(const std::string& waveId) const;
+    void noteLosses();
     void noteWaveEnds();
     bool selects(const TraceEvent&, const SimulatedInstance&) const;
     bool busy(const std::string& instance) const;
--- a/shallotdrift/src/Replay/FoldFleet.cpp
+++ b/shallotdrift/src/Replay/FoldFleet.cpp
@@ -1,7 +1,6 @@
 #include "FleetModel.h"
 
 #include "../Fold/Fold.h"
-#include "../Fold/PlannedWork.h"
 
 #include <map>
 #include <stdexcept>
@@ -59,21 +58,7 @@
 
         std::vector<PlannedMaintenance> planMaintenance() const override
         {
-            std::vector<PlannedMaintenance> planned;
-            std::map<std::string, PoolBudget> budgets;
-            for (const auto& [id, wave] : state().waves) {
-                if (wave.status != WaveStatus::Running)
-                    continue;
-                for (const auto& name : wave.pending) {
-                    const auto& instance = state().instances.at(name);
-                    auto& budget = budgets.try_emplace(instance.pool, poolBudget(state(), instance.pool)).first->second;
-                    if (!instance.available() || checkPlannedWork(budget, instance).code != ResultCode::Ok)
-                        continue;
-                    takePlannedWork(budget, instance);
-                    planned.push_back({ id, name, instance.epoch, "wave" });
-                }
-            }
-            return planned;
+            return shallotdrift::planMaintenance(state());
         }
 
         ResultCode startMaintenance(const PlannedMaintenance& planned, Instant now) override
