Bound the bytes that all caller connections buffer together

Cause: with 2,000 connections the body limit of 1 MB still let slow senders hold 2 GB.

Change: CallerServerOptions has maximumBufferedBytes (64 MB). A connection whose received body passes the sum is answered 503 with code 101, not run; others are not affected.

--- a/shallotdrift/src/Callers/CallerConnection.cpp
+++ b/shallotdrift/src/Callers/CallerConnection.cpp
@@ -39,6 +39,12 @@
         --context_.openRequests;
 }
 
+void CallerConnection::setBuffered(size_t bytes)
+{
+    context_.bufferedBytes += bytes - buffered_; // unsigned arithmetic wraps to the right sum
+    buffered_ = bytes;
+}
+
 void CallerConnection::waitReadable()
 {
     if (waiting_ || state_ == State::Closed || pending_.size() >= maximumReadAhead)
@@ -103,7 +109,12 @@
 {
     switch (reader_.state()) {
     case HttpReader::State::Reading:
-        sendContinueIfExpected();
+        setBuffered(reader_.message().body.size());
+        // The limits of one connection do not bound what many slow senders hold together.
+        if (context_.bufferedBytes > context_.options.maximumBufferedBytes)
+            refuse({ 503, ResultCode::Overloaded, "too many bytes are being received" });
+        else
+            sendContinueIfExpected();
         break;
     case HttpReader::State::Complete:
         dispatch();
@@ -145,6 +156,7 @@
 void CallerConnection::dispatch()
 {
     auto message = reader_.take();
+    setBuffered(0);
     continueSent_ = false;
     keepAlive_ = message.keepAlive;
     callerRequestId_ = requestIdForAnswer(message);
@@ -187,6 +199,7 @@
     keepAlive_ = keepAlive_ && !context_.draining;
     head_ = formatReplyHead(reply, callerRequestId_, keepAlive_, status);
     body_ = std::move(reply.body);
+    setBuffered(body_.size());
     // A caller that reads nothing must not hold the answer's memory for ever.
     setDeadline(context_.options.idleTimeout);
     std::array<asio::const_buffer, 2> buffers { asio::buffer(head_), asio::buffer(body_) };
@@ -203,6 +216,7 @@
 void CallerConnection::onWritten()
 {
     setBusy(false);
+    setBuffered(0);
     head_ = {};
     body_ = {};
     callerRequestId_.clear();
@@ -255,6 +269,7 @@
     auto self = shared_from_this();
     state_ = State::Closed;
     setBusy(false);
+    setBuffered(0);
     context_.byRequest.erase(requestId_);
     context_.deadlines.remove(*this);
     std::error_code ignored;
--- a/shallotdrift/src/Callers/CallerConnection.h
+++ b/shallotdrift/src/Callers/CallerConnection.h
@@ -25,6 +25,7 @@
     std::function<void()> connectionClosed;
     bool draining = false;
     uint64_t lastId = 0;
+    size_t bufferedBytes = 0;
     std::atomic<size_t> openRequests { 0 };
     std::unordered_map<uint64_t, CallerConnection*> byRequest {};
     std::unordered_set<std::shared_ptr<CallerConnection>> connections {};
@@ -62,6 +63,7 @@
     void expired() override;
     void setDeadline(Duration);
     void setBusy(bool);
+    void setBuffered(size_t);
 
     asio::ip::tcp::socket socket_;
     CallerContext& context_;
@@ -71,6 +73,7 @@
     bool keepAlive_ = true;
     bool busy_ = false; // counted in openRequests
     bool continueSent_ = false;
+    size_t buffered_ = 0; // share of bufferedBytes
     uint64_t requestId_ = 0; // of the request that is being processed
     std::string callerRequestId_;
     std::string pending_; // bytes after the current request
--- a/shallotdrift/src/Callers/CallerServer.h
+++ b/shallotdrift/src/Callers/CallerServer.h
@@ -47,6 +47,7 @@
     size_t maximumBodyBytes = 1 << 20;
     size_t maximumHeaderBytes = 16 << 10;
     size_t maximumConnections = 2000;
+    size_t maximumBufferedBytes = 64 << 20; // bodies being read and answers being written, of all connections
     Milliseconds idleTimeout { 30000 };
     Milliseconds readTimeout { 10000 }; // for one whole request
 };
--- a/test/CallerServerTest.cpp
+++ b/test/CallerServerTest.cpp
@@ -227,6 +227,21 @@
                 + std::string(1001, 'x'));
             assertAnswer(caller.receive(), 413, "118", "r");
         }
+        {
+            Section together("bodies that each are within the limit may not add up without limit");
+            options.maximumBufferedBytes = 1500;
+            Server small(options);
+            auto first = small.connect();
+            auto second = small.connect();
+            auto request = work("first", std::string(1000, 'x'));
+            first.send(request.substr(0, request.size() - 1));
+            CPPUNIT_ASSERT(eventually([&] { return small->openRequests() == 1; }));
+            second.send(work("second", std::string(1000, 'x')).substr(0, 900));
+            assertAnswer(second.receive(), 503, "101", "second");
+            first.send("x");
+            small.answer(small.next(), "");
+            assertAnswer(first.receive(), 200, "0", "first");
+        }
         for (const auto& header :
             { "A: " + std::string(600, 'x') + "\r\n", std::string(600, 'N'), "/" + std::string(600, 'u') }) {
             Section large("a large header is refused");
