--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -90,9 +90,9 @@
 
 # Ends every process that was started here, frozen ones too.
 stop_fleet() {
-  for pid in $pids; do kill -CONT "$pid" 2>/dev/null; kill -TERM "$pid" 2>/dev/null; done
+  for pid in $pids; do kill -CONT "$pid" 2>/dev/null || true; kill -TERM "$pid" 2>/dev/null || true; done
   sleep 0.5
-  for pid in $pids; do kill -KILL "$pid" 2>/dev/null; done
-  wait 2>/dev/null
+  for pid in $pids; do kill -KILL "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
   pids=""
 }
