--- a/test/DocumentsTest.cpp
+++ b/test/DocumentsTest.cpp
@@ -94,7 +94,7 @@
             bool single = help.find("  " + first + "\n") != std::string::npos
                 || help.find("  " + first + " -") != std::string::npos
                 || help.find("  " + first + " [-") != std::string::npos || first == "explain";
-            CPPUNIT_ASSERT(single || help.find("  " + first + " " + second) != std::string::npos);
+            CPPUNIT_ASSERT(single || help.find(fmt::format("  {} {}", first, second)) != std::string::npos);
             for (std::string word = second; !word.empty(); word.clear(), words >> word) {
                 if (word.compare(0, 2, "--") == 0 && word.find("--change_id") != 0 && word.find("--entries") != 0)
                     CPPUNIT_ASSERT_MESSAGE(word, help.find(word.substr(0, word.find('=') + 1)) != std::string::npos);
--- a/test/FoldAccess.h
+++ b/test/FoldAccess.h
@@ -119,7 +119,7 @@
         record.mutable_maintenance_started()->set_expected_epoch(fold.state().instances.at(instance).epoch);
         add(record);
         for (const auto& gate : std::set<std::string>(fold.state().waves.at(wave).active.at(instance).pendingGates))
-            acknowledge(wave + "/" + instance, gate);
+            acknowledge(fmt::format("{}/{}", wave, instance), gate);
     }
 
     uint32_t available(const std::string& pool) const { return availableInPool(fold.state(), pool); }
