--- a/app/main.cpp
+++ b/app/main.cpp
@@ -30,7 +30,6 @@
 using namespace shallotdrift; // NOLINT(google-build-using-namespace)
 using Words = std::vector<std::string>;
 
-constexpr int exitRefused = 1;
 constexpr int exitMistake = 2;
 
 std::vector<std::string> splitAtCommas(const std::string& text)
@@ -60,13 +59,6 @@
         });
 }
 
-int exitStatus(unsigned resultCode)
-{
-    if (resultCode == 0)
-        return 0;
-    return resultCode == static_cast<unsigned>(ResultCode::InvalidCommand) ? exitMistake : exitRefused;
-}
-
 Words withoutFirst(const Words& words) { return { words.begin() + 1, words.end() }; }
 
 int runOperator(const Words& words)
@@ -81,7 +73,7 @@
     options.certificateFile = FLAGS_certificate_file;
     options.keyFile = FLAGS_key_file;
     options.authorityFile = FLAGS_authority_file;
-    return exitStatus(runOperatorCommand(words, options, std::cout, std::cerr));
+    return exitStatusOf(runOperatorCommand(words, options, std::cout, std::cerr));
 }
 
 int printCodes(const Words&)
@@ -136,15 +128,15 @@
         { "help", printHelp },
         { "check-config",
             [](const Words& words) {
-                return exitStatus(runCheckConfigCommand(withoutFirst(words), std::cout, std::cerr));
+                return exitStatusOf(runCheckConfigCommand(withoutFirst(words), std::cout, std::cerr));
             } },
         { "replay",
             [](const Words& words) {
-                return exitStatus(runReplayCommand(withoutFirst(words), std::cout, std::cerr));
+                return exitStatusOf(runReplayCommand(withoutFirst(words), std::cout, std::cerr));
             } },
         { "generate-trace",
             [](const Words& words) {
-                return exitStatus(runGenerateCommand(withoutFirst(words), std::cout, std::cerr));
+                return exitStatusOf(runGenerateCommand(withoutFirst(words), std::cout, std::cerr));
             } },
     };
     return table;
--- a/shallotdrift/src/Entry/Core.cpp
+++ b/shallotdrift/src/Entry/Core.cpp
@@ -160,7 +160,12 @@
         proposals_.folded(record);
 }
 
-void Core::stateReplaced() { requests_.keyed().stateReplaced(); }
+void Core::stateReplaced()
+{
+    // The configuration comes first: keyed requests that are taken up from the state are scheduled under it.
+    stateChanged(BootClock::now());
+    requests_.keyed().stateReplaced();
+}
 
 void Core::stateChanged(Instant now)
 {
@@ -231,8 +236,9 @@
         updateGauges();
     }
     bool outage = !context_.outputs.platformReachable();
-    ready_ = keeper_.complete() && context_.state().configurationVersion && (context_.member || outage)
-        && !context_.stopping;
+    // A fleet without instances is not ready either: the first list may still be on its way.
+    ready_ = keeper_.complete() && context_.state().configurationVersion && !context_.state().instances.empty()
+        && (context_.member || outage) && !context_.stopping;
 }
 
 void Core::refreshInstances(Instant now)
--- a/shallotdrift/src/Entry/Proposals.cpp
+++ b/shallotdrift/src/Entry/Proposals.cpp
@@ -2,10 +2,23 @@
 
 namespace shallotdrift {
 
+// Reasons can quote the platform's answers. Text that is no UTF-8 would make the whole batch unreadable to the fold,
+// and it refuses long reasons.
+static std::string printable(const std::string& text)
+{
+    static constexpr size_t maximumReasonBytes = 256;
+    std::string result = text.substr(0, maximumReasonBytes);
+    for (char& character : result) {
+        if (character < ' ' || character > '~')
+            character = '?';
+    }
+    return result;
+}
+
 bool Proposals::propose(proto::Record record, const std::string& reason, VerdictHandler handler)
 {
     record.set_actor(context_.actor());
-    record.set_reason(reason);
+    record.set_reason(printable(reason));
     return proposeAs(std::move(record), std::move(handler));
 }
 
--- a/shallotdrift/src/Entry/TaskDriver.cpp
+++ b/shallotdrift/src/Entry/TaskDriver.cpp
@@ -70,6 +70,9 @@
     auto kind = kinds.find(request.subject);
     if (kind == kinds.end() || !kind->second.longRunning)
         return reply(request.id, ResultCode::UnknownKind, "no kind of long task is named " + request.subject);
+    // The team is written to the log, where text that is no UTF-8 would spoil the whole batch.
+    if (!request.team.empty() && !context_.state().configuration.teams.count(request.team))
+        return reply(request.id, ResultCode::BadRequest, "unknown team");
     if (request.body.size() > maximumInputBytes)
         return reply(
             request.id, ResultCode::TooLarge, fmt::format("task input is limited to {} bytes", maximumInputBytes));
@@ -326,6 +329,11 @@
                 start(task->second);
         });
     }
+    for (const auto& impossible : planned.impossible) {
+        auto task = context_.state().tasks.find(impossible.task);
+        if (task != context_.state().tasks.end())
+            end(task->second, proto::TaskEnded::CANCELLED, "", impossible.reason, now);
+    }
     for (const auto& preemption : planned.preemptions) {
         auto task = context_.state().tasks.find(preemption.task);
         if (task == context_.state().tasks.end() || !mayAct("preempt " + preemption.task, now))
--- a/shallotdrift/src/Policy/SlotShare.cpp
+++ b/shallotdrift/src/Policy/SlotShare.cpp
@@ -7,7 +7,7 @@
 // A slot that others left is tried again after this time.
 static constexpr Duration raiseInterval = std::chrono::milliseconds(100);
 static constexpr Duration firstPause = std::chrono::milliseconds(2);
-static constexpr uint32_t longestPauseDoublings = 6; // 128 ms
+static constexpr uint32_t longestPauseDoublings = 4; // 32 ms
 
 void SlotShare::setFraction(double fraction)
 {
--- a/test/main.cpp
+++ b/test/main.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -102,9 +103,9 @@
 // Usage: shallotdrift-tests [SUBSTRING OF TEST NAMES]. Reads KNOWN-RED.txt from the working directory.
 int main(int argc, char** argv)
 {
-    CppUnit::Test* all = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
+    std::unique_ptr<CppUnit::Test> all(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
     std::vector<CppUnit::Test*> selected;
-    collect(all, argc > 1 ? argv[1] : "", selected);
+    collect(all.get(), argc > 1 ? argv[1] : "", selected);
     CppUnit::TestResult result;
     Reporter reporter(readKnownFailures("KNOWN-RED.txt"));
     result.addListener(&reporter);
