--- a/spec/moves.pml
+++ b/spec/moves.pml
@@ -227,6 +227,17 @@
     od
 }
 
+#ifdef LIVENESS
+/* Keeps a state in which nothing else can happen from ending the run: spin applies fairness to infinite runs only. */
+bit tick;
+active proctype Clock()
+{
+    do
+    :: tick = !tick
+    od
+}
+#endif
+
 init
 {
     atomic {
