Say "not run" of a key only where no earlier request can have run its work

Cause: spin found that a retry through another entry is answered 110 "not run" at its deadline although the key's work has run (spec/keys_not_run_holds_for_the_key). A caller that trusts the answer and uses a new key runs the work twice. Change: the caller states with Request-Attempt: 1 that it has not sent the key before; other keyed requests get 302 instead of a refusal that holds for this request alone; a request past its deadline looks at the folded key first.

--- a/shallotdrift/src/Callers/CallerConnection.cpp
+++ b/shallotdrift/src/Callers/CallerConnection.cpp
@@ -153,6 +153,29 @@
     socket_.write_some(asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
 }
 
+static bool mayBeRetry(const CallerRequest& request)
+{
+    bool startsWork = request.type == CallerRequest::Type::Work || request.type == CallerRequest::Type::TaskSubmit;
+    return startsWork && !request.key.empty() && request.attemptNumber != 1;
+}
+
+// A refusal of this request alone does not tell that the key's work did not run: an earlier request with the key may
+// have run it through another entry whose record this one has not read. Refusals of the request's form would have met
+// the earlier request too.
+static bool saysOfTheKey(const CallerReply& reply)
+{
+    switch (reply.code) {
+    case ResultCode::BadRequest:
+    case ResultCode::UnknownKind:
+    case ResultCode::KeyRequired:
+    case ResultCode::KeyMismatch:
+    case ResultCode::TooLarge:
+        return true;
+    default:
+        return reply.keyNotRun || executionOf(reply.code) != Execution::NotRun;
+    }
+}
+
 void CallerConnection::dispatch()
 {
     auto message = reader_.take();
@@ -163,17 +186,18 @@
     auto routed = routeRequest(std::move(message));
     if (const auto* refusal = std::get_if<RequestRefusal>(&routed)) {
         // The message was read whole, so the connection is in step and stays open.
-        write({ refusal->code, {}, {}, {}, refusal->reason }, refusal->status);
+        write({ refusal->code, {}, {}, {}, refusal->reason, false }, refusal->status);
         return;
     }
     auto& request = std::get<CallerRequest>(routed);
     requestId_ = request.id = ++context_.lastId;
+    retried_ = mayBeRetry(request);
     request.arrived = BootClock::now();
     state_ = State::Processing;
     context_.deadlines.set(*this, Instant::max()); // the entry keeps the deadline of the request
     context_.byRequest.emplace(requestId_, this);
     if (!context_.requestHandler(std::move(request)))
-        reply({ ResultCode::Overloaded, {}, {}, {}, {} });
+        reply({ ResultCode::Overloaded, {}, {}, {}, {}, false });
 }
 
 void CallerConnection::refuse(const RequestRefusal& refusal)
@@ -181,7 +205,7 @@
     keepAlive_ = false;
     if (callerRequestId_.empty())
         callerRequestId_ = requestIdForAnswer(reader_.message());
-    write({ refusal.code, {}, {}, {}, refusal.reason }, refusal.status);
+    write({ refusal.code, {}, {}, {}, refusal.reason, false }, refusal.status);
 }
 
 void CallerConnection::reply(CallerReply&& reply)
@@ -189,6 +213,11 @@
     context_.byRequest.erase(requestId_);
     if (state_ != State::Processing)
         return;
+    if (retried_ && !saysOfTheKey(reply)) {
+        reply.reason = fmt::format(
+            "{}: {}; an earlier request with the key may have run", infoOf(reply.code).name, reply.reason);
+        reply.code = ResultCode::OutcomeUnknown;
+    }
     write(std::move(reply), 0);
 }
 
--- a/shallotdrift/src/Callers/CallerConnection.h
+++ b/shallotdrift/src/Callers/CallerConnection.h
@@ -76,6 +76,7 @@
     size_t buffered_ = 0; // share of bufferedBytes
     uint64_t requestId_ = 0; // of the request that is being processed
     std::string callerRequestId_;
+    bool retried_ = false; // the request may repeat one that used the same key
     std::string pending_; // bytes after the current request
     std::string head_;
     std::string body_;
--- a/shallotdrift/src/Callers/CallerServer.h
+++ b/shallotdrift/src/Callers/CallerServer.h
@@ -24,6 +24,7 @@
     std::string requestId; // the caller's Request-Id
     std::string subject; // kind, key or task id from the path
     std::string key; // Idempotency-Key
+    uint32_t attemptNumber = 0; // Request-Attempt; 1: the caller has not sent the key before, 0: not stated
     std::string team;
     Milliseconds timeout { 0 }; // 0: the kind's default
     Milliseconds declaredRuntime { 0 }; // 0: not declared
@@ -40,6 +41,8 @@
     std::string contentType = "application/octet-stream";
     std::string receipt;
     std::string reason; // shown to the caller when the code is not Ok
+    // No earlier request can have run the key's work either, for example because this one owned the key.
+    bool keyNotRun = false;
 };
 
 struct CallerServerOptions {
--- a/shallotdrift/src/Callers/RequestRoute.cpp
+++ b/shallotdrift/src/Callers/RequestRoute.cpp
@@ -50,8 +50,10 @@
 
     constexpr uint64_t mostOfUint32 = std::numeric_limits<uint32_t>::max();
 
-    constexpr std::array<NumberHeader, 5> numberHeaders { {
+    constexpr std::array<NumberHeader, 6> numberHeaders { {
         { "Timeout-Ms", longestMilliseconds, [](CallerRequest& r, uint64_t v) { r.timeout = Milliseconds(v); } },
+        { "Request-Attempt", mostOfUint32,
+            [](CallerRequest& r, uint64_t v) { r.attemptNumber = static_cast<uint32_t>(v); } },
         { "Declared-Runtime-Ms", longestMilliseconds,
             [](CallerRequest& r, uint64_t v) { r.declaredRuntime = Milliseconds(v); } },
         { "Declared-Cores", mostOfUint32,
--- a/shallotdrift/src/Entry/KeyedRequests.cpp
+++ b/shallotdrift/src/Entry/KeyedRequests.cpp
@@ -115,8 +115,11 @@
         return submit_(waiting.request);
     }
     withdraw(key, "the deadline passed before the intent was folded");
-    if (!waiting.abandoned)
-        reply_(waiting.request, refusal(ResultCode::DeadlinePassed, "the log answered after the deadline"));
+    if (!waiting.abandoned) {
+        auto reply = refusal(ResultCode::DeadlinePassed, "the log answered after the deadline");
+        reply.keyNotRun = true;
+        reply_(waiting.request, std::move(reply));
+    }
 }
 
 void KeyedRequests::stateReplaced()
@@ -278,7 +281,11 @@
             continue;
         // The work cannot run any more: this process alone may dispatch it, and withdraws the intent once it is folded.
         waiting.abandoned = true;
-        reply_(waiting.request, refusal(ResultCode::LogUnavailable, "the log did not take the key in time"));
+        auto state = context_.state().keys.find(key);
+        if (state != context_.state().keys.end())
+            replyFromState(waiting.request, key, state->second, now);
+        else
+            reply_(waiting.request, refusal(ResultCode::LogUnavailable, "the log did not take the key in time"));
     }
     for (auto position = fetches_.begin(); position != fetches_.end();) {
         if (now < position->second.deadline) {
--- a/shallotdrift/src/Entry/RequestService.cpp
+++ b/shallotdrift/src/Entry/RequestService.cpp
@@ -213,6 +213,8 @@
     auto open = std::move(position->second);
     open_.erase(position);
     const auto& kind = open.request.subject;
+    // Submitted keyed work owned its key, so a refusal holds for the key; for other kinds the key has no meaning.
+    reply.keyNotRun |= open.submitted;
     if (open.keyed && open.submitted)
         keyed_.ended(open.request.key, reply);
     if (open.request.type == CallerRequest::Type::Work) {
--- a/spec/keys.pml
+++ b/spec/keys.pml
@@ -84,13 +84,28 @@
 #endif
 }
 
+/* Nothing tells that no earlier request has run the key's work, except the caller: the first request says that it is the
+   first, and a caller that sends the key again has closed the connection of the first. */
+inline replyUnproven(r)
+{
+    if
+    :: r == 1 && issued == 1 -> reply(r, NOT_RUN)
+    :: else ->
+#ifdef MUTATE_RETRY_TOLD_NOT_RUN
+        reply(r, NOT_RUN)
+#else
+        reply(r, MAY_HAVE_RUN)
+#endif
+    fi
+}
+
 inline replyFromState(r, k)
 {
     if
     :: k == INTENDED -> reply(r, STILL_RUNNING)
     :: k == RAN -> reply(r, HAS_RUN)
     :: k == UNKNOWN -> reply(r, MAY_HAVE_RUN)
-    :: k == ABSENT -> reply(r, NOT_RUN)
+    :: k == ABSENT -> replyUnproven(r)
     fi
 }
 
@@ -150,7 +165,7 @@
         :: intentOf[folded[p]] == p + 1 -> foldedOwnIntent(p)
         :: else
         fi }
-    :: atomic { (alive & bitOf(p)) && state[p] == WAITING -> reply(request[p], NOT_RUN); state[p] = ABANDONED }
+    :: atomic { (alive & bitOf(p)) && state[p] == WAITING -> replyUnproven(request[p]); state[p] = ABANDONED }
     :: atomic { (alive & bitOf(p)) && state[p] == READY -> dispatch(p) }
     :: atomic { (alive & bitOf(p)) && state[p] == READY ->
         reply(request[p], NOT_RUN); propose(p, WITHDRAWN); finish(p) }
--- a/standin/LoadGenerator.cpp
+++ b/standin/LoadGenerator.cpp
@@ -127,7 +127,7 @@
     auto head = HttpHead::request("POST", "/v1/work/" + request.kind.name);
     head.add("Request-Id", request.requestId());
     if (!request.key.empty())
-        head.add("Idempotency-Key", request.key);
+        head.add("Idempotency-Key", request.key).add("Request-Attempt", static_cast<uint64_t>(request.tries));
     if (!request.kind.team.empty())
         head.add("Team", request.kind.team);
     if (request.kind.declareRuntime)
--- a/test/FoldRecordsTest.cpp
+++ b/test/FoldRecordsTest.cpp
@@ -139,7 +139,8 @@
     {
         FoldLog log;
         const std::string name = "flood-lend";
-        auto propose = [&](uint64_t version) { return log.code(records::handbook(name, version, returnHandbook, "ana")); };
+        auto propose
+            = [&](uint64_t version) { return log.code(records::handbook(name, version, returnHandbook, "ana")); };
         auto review = [&](uint64_t version, const char* reviewer, bool approved) {
             return log.code(records::review(name, version, reviewer, approved));
         };
