End the maintenance of drained instances, and share the bookkeeping of repeated duties

Cause: the operation driver rebooted maintained instances but never ended those of a drain, so a drain stopped at its first rack. Three classes kept their own maps of when a subject was due and last acted on.

--- a/shallotdrift/src/Entry/FleetObserver.cpp
+++ b/shallotdrift/src/Entry/FleetObserver.cpp
@@ -28,6 +28,7 @@
     : context_(context)
     , proposals_(proposals)
     , peers_(peers)
+    , duties_(peers)
 {
 }
 
@@ -49,18 +50,6 @@
     return absence.lists >= minimumAbsentLists && now - absence.since >= limit;
 }
 
-bool FleetObserver::mayPropose(const std::string& subject, Instant now)
-{
-    auto due = dueSince_.emplace(subject, now).first->second;
-    if (!peers_.mayAct(subject, due, now))
-        return false;
-    auto last = lastProposed_.find(subject);
-    if (last != lastProposed_.end() && now - last->second < repeatInterval)
-        return false;
-    lastProposed_[subject] = now;
-    return true;
-}
-
 void FleetObserver::observeTargets(const std::map<std::string, ListedInstance>& targets, Instant now)
 {
     unfit_.clear();
@@ -77,7 +66,7 @@
         if (!isKnown || known->second.lost || known->second.leaving || known->second.address != listed.address)
             proposeSeen(listed, now);
         else
-            dueSince_.erase("instance " + id);
+            duties_.settled("instance " + id);
     }
     for (const auto& [id, instance] : context_.state().instances) {
         if (targets.count(id) || instance.lost)
@@ -90,7 +79,7 @@
 
 void FleetObserver::proposeSeen(const ListedInstance& listed, Instant now)
 {
-    if (!mayPropose("instance " + listed.id, now))
+    if (!duties_.mayAct("instance " + listed.id, now, repeatInterval))
         return;
     proto::Record record;
     auto* seen = record.mutable_instance_observed();
@@ -109,7 +98,7 @@
 
 void FleetObserver::proposeLost(const Instance& instance, bool leaving, Instant now)
 {
-    if (!mayPropose("instance " + instance.id, now))
+    if (!duties_.mayAct("instance " + instance.id, now, repeatInterval))
         return;
     proto::Record record;
     record.mutable_instance_lost()->set_instance(instance.id);
@@ -132,7 +121,7 @@
             continue;
         if (!goneFor(id, entryAbsence(context_.settings), now) || now - since < entrySettling)
             continue;
-        if (!mayPropose(fmt::format("entry {}/{}", id, member.boot), now))
+        if (!duties_.mayAct(fmt::format("entry {}/{}", id, member.boot), now, repeatInterval))
             continue;
         proto::Record record;
         record.mutable_entry_removed()->set_entry(id);
--- a/shallotdrift/src/Entry/FleetObserver.h
+++ b/shallotdrift/src/Entry/FleetObserver.h
@@ -2,6 +2,7 @@
 
 #include "../Platform/PlatformClient.h"
 #include "CoreContext.h"
+#include "DutyLimiter.h"
 #include "PeerDirectory.h"
 #include "Proposals.h"
 
@@ -31,7 +32,6 @@
     void observeEntries(const std::map<std::string, ListedInstance>&, Instant now);
     // Whether the instance has been missing long enough, counted in lists as well as in time.
     bool goneFor(const std::string& id, Duration limit, Instant now);
-    bool mayPropose(const std::string& subject, Instant now);
     void proposeSeen(const ListedInstance&, Instant now);
     void proposeLost(const Instance&, bool leaving, Instant now);
 
@@ -40,8 +40,7 @@
     PeerDirectory& peers_;
     std::set<std::string> unfit_;
     std::map<std::string, Absence> absences_;
-    std::map<std::string, Instant> dueSince_; // subject to when it was first due
-    std::map<std::string, Instant> lastProposed_; // subject to the last proposal
+    DutyLimiter duties_;
     std::map<std::string, Instant> memberSince_; // "<entry>/<boot>" to when this process first saw it as a member
 };
 
--- a/shallotdrift/src/Entry/OperationDriver.cpp
+++ b/shallotdrift/src/Entry/OperationDriver.cpp
@@ -18,6 +18,7 @@
     , proposals_(proposals)
     , peers_(peers)
     , gate_(gate)
+    , duties_(peers)
 {
 }
 
@@ -31,19 +32,6 @@
     driveMaintenances(now);
     planLending(demand, now);
     planWaves(now);
-    forgetEnded();
-}
-
-bool OperationDriver::mayAct(const std::string& subject, Instant now, Duration interval)
-{
-    auto due = dueSince_.emplace(subject, now).first->second;
-    if (!peers_.mayAct(subject, due, now))
-        return false;
-    auto last = lastAct_.find(subject);
-    if (last != lastAct_.end() && now - last->second < interval)
-        return false;
-    lastAct_[subject] = now;
-    return true;
 }
 
 void OperationDriver::acknowledge(const std::set<std::string>& ownInFlight, Instant now)
@@ -51,11 +39,8 @@
     if (!context_.member)
         return;
     for (const auto& operation : gate_.acknowledgements(context_.state(), ownInFlight, now)) {
-        auto subject = "acknowledge " + operation;
-        auto last = lastAct_.find(subject);
-        if (last != lastAct_.end() && now - last->second < repeatInterval)
+        if (!duties_.mayRepeat("acknowledge " + operation, now, repeatInterval))
             continue;
-        lastAct_[subject] = now;
         proto::Record record;
         record.mutable_close_acknowledged()->set_operation_id(operation);
         record.mutable_close_acknowledged()->set_entry(context_.settings.id);
@@ -66,7 +51,7 @@
 
 void OperationDriver::call(PlatformCall platformCall, const std::string& subject, Instant now)
 {
-    if (callsUnderWay_.count(platformCall.operationId) || !mayAct(subject, now, callInterval))
+    if (callsUnderWay_.count(platformCall.operationId) || !duties_.mayAct(subject, now, callInterval))
         return;
     auto operation = platformCall.operationId;
     if (context_.outputs.callPlatform(std::move(platformCall)))
@@ -89,8 +74,9 @@
         // The fold's time may stand still in an outage, so the age is taken from this entry's clock.
         if (move.status != MoveStatus::Closing)
             continue;
-        auto since = dueSince_.emplace("closing " + id, now).first->second;
-        if (now - since < context_.state().configuration.moveTimeout || !mayAct("abort " + id, now, repeatInterval))
+        auto since = duties_.dueSince("closing " + id, now);
+        if (now - since < context_.state().configuration.moveTimeout
+            || !duties_.mayAct("abort " + id, now, repeatInterval))
             continue;
         proto::Record record;
         record.mutable_move_aborted()->set_move_id(id);
@@ -103,31 +89,44 @@
 
 void OperationDriver::driveMaintenances(Instant now)
 {
-    for (const auto& [waveId, wave] : context_.state().waves) {
-        for (const auto& [instance, maintenance] : wave.active) {
-            auto operation = waveId + "/" + instance;
-            if (maintenance.pendingGates.empty() && !wave.keepDrained) {
-                PlatformCall reboot;
-                reboot.type = PlatformCall::Type::Reboot;
-                reboot.operationId = operation;
-                reboot.instance = instance;
-                reboot.epoch = maintenance.epoch + 1;
-                call(std::move(reboot), "reboot " + operation, now);
-                continue;
-            }
-            if (maintenance.pendingGates.empty())
-                continue;
-            auto since = dueSince_.emplace("closing " + operation, now).first->second;
-            if (now - since < context_.state().configuration.moveTimeout
-                || !mayAct("abort " + operation, now, repeatInterval))
-                continue;
-            proto::Record record;
-            record.mutable_maintenance_done()->set_wave_id(waveId);
-            record.mutable_maintenance_done()->set_instance(instance);
-            record.mutable_maintenance_done()->set_completed(false);
-            proposals_.propose(std::move(record), "the closing was not acknowledged in time");
-        }
+    for (const auto& [id, wave] : context_.state().waves) {
+        for (const auto& [instance, maintenance] : wave.active)
+            driveMaintenance(wave, maintenance, now);
+    }
+}
+
+void OperationDriver::driveMaintenance(const Wave& wave, const Maintenance& maintenance, Instant now)
+{
+    auto operation = wave.id + "/" + maintenance.instance;
+    if (!maintenance.pendingGates.empty()) {
+        auto age = now - duties_.dueSince("closing " + operation, now);
+        if (age >= context_.state().configuration.moveTimeout
+            && duties_.mayAct("abort " + operation, now, repeatInterval))
+            endMaintenance(wave.id, maintenance.instance, false, "the closing was not acknowledged in time");
+        return;
+    }
+    // A drained instance stays out of service; there is nothing to reboot it for.
+    if (wave.keepDrained) {
+        if (duties_.mayAct("drained " + operation, now, repeatInterval))
+            endMaintenance(wave.id, maintenance.instance, true, "all gate entries have acknowledged");
+        return;
     }
+    PlatformCall reboot;
+    reboot.type = PlatformCall::Type::Reboot;
+    reboot.operationId = operation;
+    reboot.instance = maintenance.instance;
+    reboot.epoch = maintenance.epoch + 1;
+    call(std::move(reboot), "reboot " + operation, now);
+}
+
+void OperationDriver::endMaintenance(
+    const std::string& wave, const std::string& instance, bool completed, const std::string& reason)
+{
+    proto::Record record;
+    record.mutable_maintenance_done()->set_wave_id(wave);
+    record.mutable_maintenance_done()->set_instance(instance);
+    record.mutable_maintenance_done()->set_completed(completed);
+    proposals_.propose(std::move(record), reason);
 }
 
 void OperationDriver::callDone(const PlatformCallResult& result, Instant)
@@ -140,17 +139,14 @@
         context_.metrics.count("platform_call_failures_total");
         return;
     }
-    proto::Record record;
     if (call.type == PlatformCall::Type::Assign) {
+        proto::Record record;
         record.mutable_move_granted()->set_move_id(call.operationId);
         proposals_.propose(std::move(record), "the platform rebooted the instance into the pool");
         return;
     }
-    auto slash = call.operationId.rfind('/');
-    record.mutable_maintenance_done()->set_wave_id(call.operationId.substr(0, slash));
-    record.mutable_maintenance_done()->set_instance(call.instance);
-    record.mutable_maintenance_done()->set_completed(true);
-    proposals_.propose(std::move(record), "the platform rebooted the instance");
+    auto wave = call.operationId.substr(0, call.operationId.rfind('/'));
+    endMaintenance(wave, call.instance, true, "the platform rebooted the instance");
 }
 
 void OperationDriver::planLending(const std::map<std::string, double>& demand, Instant now)
@@ -164,7 +160,7 @@
         return;
     for (const auto& planned : moves) {
         auto subject = fmt::format("lend {}/{}", planned.instance, planned.epoch);
-        if (!mayAct(subject, now, repeatInterval))
+        if (!duties_.mayAct(subject, now, repeatInterval))
             continue;
         proto::Record record;
         auto* move = record.mutable_move_proposed();
@@ -182,13 +178,11 @@
         return;
     nextWave_ = now + waveInterval;
     for (const auto& planned : planMaintenance(context_.state())) {
-        if (!mayAct("wave " + planned.wave, now, Duration::zero()))
+        if (!duties_.mayAct("wave " + planned.wave, now, Duration::zero()))
             continue;
         auto subject = fmt::format("maintain {}/{}/{}", planned.wave, planned.instance, planned.epoch);
-        auto last = lastAct_.find(subject);
-        if (last != lastAct_.end() && now - last->second < repeatInterval)
+        if (!duties_.mayRepeat(subject, now, repeatInterval))
             continue;
-        lastAct_[subject] = now;
         proto::Record record;
         auto* start = record.mutable_maintenance_started();
         start->set_wave_id(planned.wave);
@@ -198,14 +192,4 @@
     }
 }
 
-void OperationDriver::forgetEnded()
-{
-    // Bounds the bookkeeping; subjects that are still due come back with their next tick.
-    static constexpr size_t maximumSubjects = 20000;
-    if (dueSince_.size() > maximumSubjects)
-        dueSince_.clear();
-    if (lastAct_.size() > maximumSubjects)
-        lastAct_.clear();
-}
-
 } // namespace shallotdrift
--- a/shallotdrift/src/Entry/OperationDriver.h
+++ b/shallotdrift/src/Entry/OperationDriver.h
@@ -3,6 +3,7 @@
 #include "../Peers/Gate.h"
 #include "../Policy/LendingPlanner.h"
 #include "CoreContext.h"
+#include "DutyLimiter.h"
 #include "PeerDirectory.h"
 #include "Proposals.h"
 
@@ -25,20 +26,19 @@
     void acknowledge(const std::set<std::string>& ownInFlight, Instant now);
     void driveMoves(Instant now);
     void driveMaintenances(Instant now);
+    void driveMaintenance(const Wave&, const Maintenance&, Instant now);
+    void endMaintenance(
+        const std::string& wave, const std::string& instance, bool completed, const std::string& reason);
     void planLending(const std::map<std::string, double>& demand, Instant now);
     void planWaves(Instant now);
     void call(PlatformCall, const std::string& subject, Instant now);
-    // At most one attempt per interval for a subject, and only when this entry's rank allows it.
-    bool mayAct(const std::string& subject, Instant now, Duration interval);
-    void forgetEnded();
 
     CoreContext& context_;
     Proposals& proposals_;
     PeerDirectory& peers_;
     Gate& gate_;
     LendingPlanner lending_;
-    std::map<std::string, Instant> dueSince_;
-    std::map<std::string, Instant> lastAct_;
+    DutyLimiter duties_;
     std::set<std::string> callsUnderWay_;
     Instant nextLending_ {};
     Instant nextWave_ {};
--- a/shallotdrift/src/Entry/TaskDriver.cpp
+++ b/shallotdrift/src/Entry/TaskDriver.cpp
@@ -20,6 +20,7 @@
     : context_(context)
     , proposals_(proposals)
     , peers_(peers)
+    , duties_(peers)
 {
 }
 
@@ -148,19 +149,10 @@
     awaitingVerdict_[request.id] = deadlineOf(request);
 }
 
-bool TaskDriver::mayAct(const std::string& subject, Instant now)
-{
-    auto last = lastAct_.find(subject);
-    if (last != lastAct_.end() && now - last->second < repeatInterval)
-        return false;
-    lastAct_[subject] = now;
-    return true;
-}
-
 void TaskDriver::end(
     const Task& task, proto::TaskEnded::End reason, const std::string& receipt, const std::string& text, Instant now)
 {
-    if (!mayAct(fmt::format("end {}/{}", task.id, task.token), now))
+    if (!duties_.mayRepeat(fmt::format("end {}/{}", task.id, task.token), now, repeatInterval))
         return;
     proto::Record record;
     record.mutable_task_ended()->set_task_id(task.id);
@@ -289,7 +281,8 @@
         }
         auto since = ownerSilentSince_.emplace(id, now).first->second;
         auto due = isMember ? since + ownerSilence : since;
-        if (!peers_.mayAct("task " + id, due, now) || !mayAct(fmt::format("own {}/{}", id, task.token), now))
+        if (!peers_.mayAct("task " + id, due, now)
+            || !duties_.mayRepeat(fmt::format("own {}/{}", id, task.token), now, repeatInterval))
             continue;
         proto::Record record;
         record.mutable_task_owner()->set_task_id(id);
@@ -314,7 +307,8 @@
         usage[instance].urgentSlots = slots;
     auto planned = planTasks(context_.state(), usage);
     for (const auto& placement : planned.placements) {
-        if (!mayAct(fmt::format("place {}/{}", placement.task, placement.expectedToken), now))
+        if (!duties_.mayRepeat(
+                fmt::format("place {}/{}", placement.task, placement.expectedToken), now, repeatInterval))
             continue;
         proto::Record record;
         auto* placed = record.mutable_task_placed();
@@ -336,7 +330,8 @@
     }
     for (const auto& preemption : planned.preemptions) {
         auto task = context_.state().tasks.find(preemption.task);
-        if (task == context_.state().tasks.end() || !mayAct("preempt " + preemption.task, now))
+        if (task == context_.state().tasks.end()
+            || !duties_.mayRepeat("preempt " + preemption.task, now, repeatInterval))
             continue;
         logger("tasks")->info(
             "task {} {}: {}", preemption.task, preemption.stop ? "checkpointed" : "throttled", preemption.reason);
--- a/shallotdrift/src/Entry/TaskDriver.h
+++ b/shallotdrift/src/Entry/TaskDriver.h
@@ -4,6 +4,7 @@
 #include "../Platform/PlatformClient.h"
 #include "../Policy/TaskPlanner.h"
 #include "CoreContext.h"
+#include "DutyLimiter.h"
 #include "PeerDirectory.h"
 #include "Proposals.h"
 
@@ -36,14 +37,13 @@
     void renewOwned(Instant now);
     void takeOver(Instant now);
     void plan(const std::map<std::string, uint32_t>& urgentSlots, Instant now);
-    bool mayAct(const std::string& subject, Instant now);
 
     CoreContext& context_;
     Proposals& proposals_;
     PeerDirectory& peers_;
     std::map<std::string, PlatformTask> platformTasks_;
     std::map<std::string, Instant> lastRenewal_;
-    std::map<std::string, Instant> lastAct_;
+    DutyLimiter duties_;
     std::map<std::string, Instant> ownerSilentSince_;
     std::map<uint64_t, Instant> awaitingVerdict_; // request to its deadline
     Instant nextPlan_ {};
