--- a/bench/RequestBench.cpp
+++ b/bench/RequestBench.cpp
@@ -112,7 +112,7 @@
 std::string callerRequest()
 {
     return fmt::format(
-        "POST /v1/work/quick HTTP/1.1\r\nRequest-Id: r-{{}}\r\nTimeout-Ms: 5000\r\nContent-Length: {}\r\n\r\n{}",
+        "POST /v1/requests/quick HTTP/1.1\r\nRequest-Id: r-{{}}\r\nTimeout-Ms: 5000\r\nContent-Length: {}\r\n\r\n{}",
         work.size(), work);
 }
 
--- a/shallotdrift/src/Callers/CallerServer.h
+++ b/shallotdrift/src/Callers/CallerServer.h
@@ -13,7 +13,7 @@
 
 struct CallerRequest {
     enum class Type : uint8_t {
-        Work, // POST /v1/work/<kind>
+        Work, // POST /v1/requests/<kind>
         KeyQuery, // GET /v1/keys/<key>
         TaskSubmit, // POST /v1/tasks/<kind>
         TaskQuery, // GET /v1/tasks/<id>
--- a/shallotdrift/src/Callers/RequestRoute.cpp
+++ b/shallotdrift/src/Callers/RequestRoute.cpp
@@ -23,7 +23,7 @@
     };
 
     constexpr std::array<Route, 5> routes { {
-        { "/v1/work/", "POST", CallerRequest::Type::Work, true },
+        { "/v1/requests/", "POST", CallerRequest::Type::Work, true },
         { "/v1/keys/", "GET", CallerRequest::Type::KeyQuery, false },
         { "/v1/tasks/", "POST", CallerRequest::Type::TaskSubmit, true },
         { "/v1/tasks/", "GET", CallerRequest::Type::TaskQuery, false },
--- a/standin/LoadGenerator.cpp
+++ b/standin/LoadGenerator.cpp
@@ -124,7 +124,7 @@
 
 std::string LoadGenerator::format(const Request& request) const
 {
-    auto head = HttpHead::request("POST", "/v1/work/" + request.kind.name);
+    auto head = HttpHead::request("POST", "/v1/requests/" + request.kind.name);
     head.add("Request-Id", request.requestId());
     if (!request.key.empty())
         head.add("Idempotency-Key", request.key).add("Request-Attempt", static_cast<uint64_t>(request.tries));
