Look at all instances less often, and count urgent slots for the task planner

The task planner was given no urgent slots, so it never preempted. Change: these duties run every 50 ms and the usable instances are rebuilt every 250 ms or on a change; urgent attempts are counted by instance. Preemption by urgent slots of a running entry is not covered by a test with processes.

--- a/shallotdrift/src/Entry/Core.cpp
+++ b/shallotdrift/src/Entry/Core.cpp
@@ -7,8 +7,11 @@
 namespace shallotdrift {
 
 static constexpr Milliseconds tickInterval { 10 };
+// Leases, acknowledgements and plans look at every instance, which at 730 of them is too much for every tick. View
+// lease requests have to be made within 100 ms of a change.
+static constexpr Milliseconds dutyInterval { 50 };
 // Leases of other zones lapse after seconds, so their instances are looked at again well within that.
-static constexpr Milliseconds refreshInterval { 100 };
+static constexpr Milliseconds refreshInterval { 250 };
 static constexpr Milliseconds joinInterval { 3000 };
 // The fold's time moves with the writers' stamps; keys expire by it.
 static constexpr Milliseconds timeStampInterval { 60000 };
@@ -216,15 +219,8 @@
     requests_.tick(now);
     if (now >= nextHeartbeat_)
         heartbeat(now);
-    auto inFlight = requests_.inFlightInstances();
-    for (auto& message : leases_.requests(context_.state(), context_.fold.offset(), inFlight, now))
-        context_.outputs.sendPeer(std::move(message));
-    auto demand = peers_.otherDemand(now);
-    std::map<std::string, uint32_t> urgentSlots;
-    for (const auto& load : requests_.load(now))
-        demand[load.pool] += load.demandSlots;
-    operations_.tick(demand, inFlight, now);
-    tasks_.tick(urgentSlots, now);
+    if (now >= nextDuties_)
+        runDuties(now);
     if (context_.member && !context_.stopping && now >= nextTimeStamp_) {
         nextTimeStamp_ = now + timeStampInterval;
         proto::Record record;
@@ -241,6 +237,19 @@
         && (context_.member || outage) && !context_.stopping;
 }
 
+void Core::runDuties(Instant now)
+{
+    nextDuties_ = now + dutyInterval;
+    auto inFlight = requests_.inFlightInstances();
+    for (auto& message : leases_.requests(context_.state(), context_.fold.offset(), inFlight, now))
+        context_.outputs.sendPeer(std::move(message));
+    auto demand = peers_.otherDemand(now);
+    for (const auto& load : requests_.load(now))
+        demand[load.pool] += load.demandSlots;
+    operations_.tick(demand, inFlight, now);
+    tasks_.tick(requests_.urgentSlots(), now);
+}
+
 void Core::refreshInstances(Instant now)
 {
     nextRefresh_ = now + refreshInterval;
--- a/shallotdrift/src/Entry/Core.h
+++ b/shallotdrift/src/Entry/Core.h
@@ -60,6 +60,8 @@
     void stateChanged(Instant now);
     void tick(Instant now);
     void join(Instant now);
+    // Leases, acknowledgements, moves, waves and tasks.
+    void runDuties(Instant now);
     void refreshInstances(Instant now);
     void heartbeat(Instant now);
     void updateGauges();
@@ -83,6 +85,7 @@
     uint64_t configurationVersion_ = 0;
     Instant nextTick_ {};
     Instant nextRefresh_ {};
+    Instant nextDuties_ {};
     Instant nextHeartbeat_ {};
     Instant nextJoin_ {};
     Instant nextTimeStamp_ {};
--- a/shallotdrift/src/Entry/RequestService.cpp
+++ b/shallotdrift/src/Entry/RequestService.cpp
@@ -144,6 +144,21 @@
     return instances;
 }
 
+std::map<std::string, uint32_t> RequestService::urgentSlots() const
+{
+    std::map<std::string, uint32_t> slots;
+    const auto& kinds = context_.state().configuration.kinds;
+    for (const auto& [id, attempt] : attempts_) {
+        auto open = open_.find(attempt.request);
+        if (open == open_.end())
+            continue;
+        auto kind = kinds.find(open->second.request.subject);
+        if (kind != kinds.end() && kind->second.urgency == Urgency::Urgent)
+            ++slots[attempt.instance];
+    }
+    return slots;
+}
+
 void RequestService::apply(const SchedulerEffects& effects, Instant)
 {
     for (uint64_t attempt : effects.cancelledAttempts) {
--- a/shallotdrift/src/Entry/RequestService.h
+++ b/shallotdrift/src/Entry/RequestService.h
@@ -36,6 +36,8 @@
     std::vector<PoolLoad> load(Instant now) const { return scheduler_.load(now); }
     // Instances on which this entry has attempts under way.
     std::set<std::string> inFlightInstances() const;
+    // Slots that this entry's urgent requests hold, by instance.
+    std::map<std::string, uint32_t> urgentSlots() const;
     size_t openRequests() const { return open_.size(); }
     // The last refusals, for explain.
     const std::deque<std::string>& recentRefusals() const { return recentRefusals_; }
