--- a/shallotdrift/src/Entry/Core.cpp
+++ b/shallotdrift/src/Entry/Core.cpp
@@ -53,7 +53,7 @@
         auto event = ring_.popFor(tickInterval);
         Instant now = BootClock::now();
         if (event)
-            std::visit([&](auto&& item) { handle(std::move(item), now); }, std::move(*event));
+            std::visit([&](auto& item) { handle(std::move(item), now); }, *event);
         else if (ring_.closed())
             return;
         if (now >= nextTick_) {
--- a/shallotdrift/src/Entry/MetricsServer.cpp
+++ b/shallotdrift/src/Entry/MetricsServer.cpp
@@ -36,7 +36,7 @@
         auto colon = listenAddress_.rfind(':');
         auto host = listenAddress_.substr(0, colon);
         int port = std::atoi(listenAddress_.c_str() + colon + 1);
-        if (!server_.bind_to_port(host.c_str(), port))
+        if (!server_.bind_to_port(host, port))
             return fail(ResultCode::InvalidSettings, "metrics address " + listenAddress_ + " cannot be bound");
         thread_ = std::thread([this] { server_.listen_after_bind(); });
         return {};
