--- a/shallotdrift/src/Fold/SnapshotDecoder.cpp
+++ b/shallotdrift/src/Fold/SnapshotDecoder.cpp
@@ -1,6 +1,7 @@
 #include "Names.h"
 #include "SnapshotFormat.h"
 #include "SnapshotRules.h"
+#include "TaskSpec.h"
 
 namespace shallotdrift::internal {
 
@@ -220,16 +221,9 @@
 
 Task SnapshotDecoder::decodeTask(const proto::TaskState& from)
 {
-    const auto& spec = from.spec();
     Task task;
     task.id = from.task_id();
-    task.kind = spec.kind();
-    task.team = spec.team();
-    task.cores = spec.cores();
-    task.memoryMegabytes = spec.memory_mb();
-    task.accelerators = spec.accelerators();
-    task.declaredRuntime = Milliseconds(spec.declared_runtime_ms());
-    task.input = spec.input();
+    assignSpec(task, from.spec());
     task.status = enumerator(from.status(), TaskStatus::Cancelled);
     task.instance = from.instance();
     task.owner = from.owner();
--- a/shallotdrift/src/Fold/TaskHandlers.cpp
+++ b/shallotdrift/src/Fold/TaskHandlers.cpp
@@ -1,5 +1,6 @@
 #include "Names.h"
 #include "RecordHandlers.h"
+#include "TaskSpec.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -37,16 +38,9 @@
     const auto& proposed = context.record.task_accepted();
     if (auto verdict = checkTask(data, proposed); verdict.code != ResultCode::Ok)
         return verdict;
-    const auto& spec = proposed.spec();
     auto& task = data.state.tasks[proposed.task_id()];
     task.id = proposed.task_id();
-    task.kind = spec.kind();
-    task.team = spec.team();
-    task.cores = spec.cores();
-    task.memoryMegabytes = spec.memory_mb();
-    task.accelerators = spec.accelerators();
-    task.declaredRuntime = Milliseconds(spec.declared_runtime_ms());
-    task.input = spec.input();
+    assignSpec(task, proposed.spec());
     task.acceptedAt = data.state.foldTime;
     return accepted();
 }
