--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,5 +1,6 @@
 #include "shallotdrift/Base.h"
 #include "shallotdrift/Entry.h"
+#include "shallotdrift/Node.h"
 #include "shallotdrift/Operators.h"
 #include "shallotdrift/Replay.h"
 #include "shallotdrift/Settings.h"
@@ -59,6 +60,20 @@
         });
 }
 
+int runNodeCommand(const Words&)
+{
+    return handleError(
+        []() -> Result<int> {
+            BOOST_LEAF_AUTO(settings, readNodeSettings(FLAGS_settings));
+            useBufferedOutputLog();
+            return runNode(settings);
+        },
+        [](const Error& error) {
+            std::cerr << error.message << "\n";
+            return exitMistake;
+        });
+}
+
 Words withoutFirst(const Words& words) { return { words.begin() + 1, words.end() }; }
 
 int runOperator(const Words& words)
@@ -88,6 +103,7 @@
 {
     return "shallotdrift COMMAND [FLAGS]\n"
            "  entry --settings=FILE               run an entry instance\n"
+           "  node --settings=FILE                run an entry instance on the users' platform\n"
            "  check-config FILE ...               check settings, configurations and handbook entries\n"
            "  replay --trace=FILE                 replay a trace through the decision core\n"
            "  generate-trace --scenario=NAME      write a trace\n"
@@ -124,6 +140,7 @@
 {
     static const std::map<std::string, std::function<int(const Words&)>> table {
         { "entry", runEntryCommand },
+        { "node", runNodeCommand },
         { "codes", printCodes },
         { "help", printHelp },
         { "check-config",
--- a/shallotdrift/Settings.h
+++ b/shallotdrift/Settings.h
@@ -6,3 +6,4 @@
 #include "src/Settings/FleetConfiguration.h"
 #include "src/Settings/HandbookPlan.h"
 #include "src/Settings/KeyReference.h"
+#include "src/Settings/NodeSettings.h"
--- a/shallotdrift/src/Base/Logging.cpp
+++ b/shallotdrift/src/Base/Logging.cpp
@@ -1,25 +1,59 @@
 #include "Logging.h"
 
 #include <mutex>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
 namespace shallotdrift {
 
+static constexpr char linePattern[] = "%Y-%m-%dT%H:%M:%S.%e %L %n: %v";
+static constexpr size_t bufferedLines = 4096;
+// Time that a line may stay in the buffer of the output; flushing each line would cost a system call for each.
+static constexpr std::chrono::seconds flushInterval { 1 };
+
+static bool& buffered()
+{
+    static bool value = false;
+    return value;
+}
+
+static std::shared_ptr<spdlog::logger> makeLogger(const std::string& part)
+{
+    if (buffered()) {
+        static const auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+        auto created = std::make_shared<spdlog::async_logger>(
+            part, sink, spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
+        created->flush_on(spdlog::level::warn);
+        return created;
+    }
+    static const auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    auto created = std::make_shared<spdlog::logger>(part, sink);
+    created->flush_on(spdlog::level::info);
+    return created;
+}
+
 std::shared_ptr<spdlog::logger> logger(const std::string& part)
 {
     static std::mutex mutex;
-    static const auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
     std::lock_guard lock(mutex);
     if (auto existing = spdlog::get(part))
         return existing;
-    auto created = std::make_shared<spdlog::logger>(part, sink);
+    auto created = makeLogger(part);
     created->set_level(spdlog::get_level());
-    created->set_pattern("%Y-%m-%dT%H:%M:%S.%e %L %n: %v");
-    created->flush_on(spdlog::level::info);
+    created->set_pattern(linePattern);
     spdlog::register_logger(created);
     return created;
 }
 
+void useBufferedOutputLog()
+{
+    buffered() = true;
+    spdlog::init_thread_pool(bufferedLines, 1);
+    spdlog::flush_every(flushInterval);
+}
+
+void flushLog() { spdlog::shutdown(); }
+
 void setLogLevel(const std::string& level) { spdlog::set_level(spdlog::level::from_str(level)); }
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Base/Logging.h
+++ b/shallotdrift/src/Base/Logging.h
@@ -9,6 +9,12 @@
 // Logger whose lines start with "<part>: ". All parts share one sink on standard error.
 std::shared_ptr<spdlog::logger> logger(const std::string& part);
 
+// From now on new loggers write to standard output on a thread of its own. A full buffer drops the oldest lines, so
+// that nothing waits for the log. To be called before the first logger() of the parts concerned.
+void useBufferedOutputLog();
+// Writes out what is buffered, before the process ends.
+void flushLog();
+
 // Level by spdlog's names: trace, debug, info, warning, error, critical, off.
 void setLogLevel(const std::string& level);
 
--- /dev/null
+++ b/shallotdrift/src/Http/HttpClient.cpp
@@ -0,0 +1,350 @@
+#include "HttpClient.h"
+
+#include "Address.h"
+#include "HttpHead.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <deque>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace shallotdrift {
+
+using asio::ip::tcp;
+
+namespace {
+
+    class Connection;
+    class Pool;
+
+    // One request on its way.
+    struct Exchange {
+        std::string bytes; // head and body
+        Instant deadline;
+        HttpClient::Handler handler;
+        bool sent = false;
+
+        void finish(HttpOutcome&& outcome)
+        {
+            if (auto call = std::move(handler))
+                call(std::move(outcome));
+        }
+    };
+
+    struct Shared {
+        asio::io_context& io;
+        DeadlineQueue& deadlines;
+        HttpClientOptions options;
+        uint64_t opened = 0;
+        std::array<char, 64 << 10> scratch {};
+    };
+
+    class Connection : public std::enable_shared_from_this<Connection>, public Expiring {
+    public:
+        Connection(Shared& shared, Pool& pool)
+            : shared_(shared)
+            , pool_(pool)
+            , socket_(shared.io)
+            , reader_(HttpReader::Type::Response, { 64 << 10, shared.options.maximumAnswerBytes })
+        {
+        }
+
+        void open(const tcp::endpoint&, std::shared_ptr<Exchange>);
+        void run(std::shared_ptr<Exchange>);
+        void close();
+
+    private:
+        void write();
+        void read();
+        void onRead(std::error_code, size_t);
+        void fail(bool silent);
+        void expired() override;
+
+        Shared& shared_;
+        Pool& pool_;
+        tcp::socket socket_;
+        HttpReader reader_;
+        std::shared_ptr<Exchange> exchange_;
+        bool reading_ = false; // a wait for readability is open
+        bool closed_ = false;
+    };
+
+    // Connections to one address and the requests that wait for one.
+    class Pool : public Expiring {
+    public:
+        Pool(Shared& shared, const std::string& address)
+            : shared_(shared)
+        {
+            if (auto endpoint = parseAddress(address))
+                endpoint_ = *endpoint;
+        }
+
+        void submit(std::shared_ptr<Exchange>);
+        void idle(const std::shared_ptr<Connection>&);
+        void closed(const std::shared_ptr<Connection>&);
+        void retireIdle();
+        void stop();
+
+    private:
+        void serve();
+        void expired() override;
+
+        Shared& shared_;
+        std::optional<tcp::endpoint> endpoint_;
+        std::unordered_set<std::shared_ptr<Connection>> connections_;
+        std::vector<std::shared_ptr<Connection>> idle_;
+        std::deque<std::shared_ptr<Exchange>> waiting_;
+    };
+
+    void Connection::open(const tcp::endpoint& endpoint, std::shared_ptr<Exchange> exchange)
+    {
+        exchange_ = std::move(exchange);
+        ++shared_.opened;
+        shared_.deadlines.set(*this, std::min(exchange_->deadline, BootClock::now() + shared_.options.connectTimeout));
+        socket_.async_connect(endpoint, [self = shared_from_this()](std::error_code error) {
+            if (self->closed_)
+                return;
+            if (error) {
+                self->fail(false);
+                return;
+            }
+            std::error_code ignored;
+            self->socket_.set_option(tcp::no_delay(true), ignored);
+            self->write();
+        });
+    }
+
+    void Connection::run(std::shared_ptr<Exchange> exchange)
+    {
+        exchange_ = std::move(exchange);
+        write();
+    }
+
+    void Connection::write()
+    {
+        shared_.deadlines.set(*this, exchange_->deadline);
+        exchange_->sent = true;
+        asio::async_write(socket_, asio::buffer(exchange_->bytes),
+            [self = shared_from_this(), held = exchange_](std::error_code error, size_t) {
+                if (error && !self->closed_ && self->exchange_ == held)
+                    self->fail(false);
+            });
+        read();
+    }
+
+    void Connection::read()
+    {
+        if (reading_)
+            return; // the wait of the idle time goes on
+        reading_ = true;
+        socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+            self->reading_ = false;
+            if (self->closed_)
+                return;
+            size_t length = 0;
+            if (!error) {
+                self->socket_.non_blocking(true, error);
+                length = self->socket_.read_some(asio::buffer(self->shared_.scratch), error);
+            }
+            self->onRead(error, length);
+        });
+    }
+
+    void Connection::onRead(std::error_code error, size_t length)
+    {
+        if (error == asio::error::would_block || error == asio::error::try_again) {
+            read();
+            return;
+        }
+        if (error || !exchange_) {
+            fail(false);
+            return;
+        }
+        size_t used = reader_.feed({ shared_.scratch.data(), length });
+        if (reader_.state() == HttpReader::State::Reading) {
+            read();
+            return;
+        }
+        if (reader_.state() == HttpReader::State::Failed) {
+            fail(false);
+            return;
+        }
+        auto self = shared_from_this();
+        auto exchange = std::move(exchange_);
+        bool reusable = reader_.message().keepAlive && used == length;
+        HttpOutcome outcome { true, true, reader_.take() };
+        if (reusable) {
+            shared_.deadlines.set(*this, BootClock::now() + shared_.options.idleTimeout);
+            read(); // notices that the other side closes the idle connection
+            pool_.idle(self);
+        } else {
+            close();
+            pool_.closed(self);
+        }
+        exchange->finish(std::move(outcome));
+    }
+
+    void Connection::fail(bool silent)
+    {
+        auto self = shared_from_this();
+        auto exchange = std::move(exchange_);
+        close();
+        pool_.closed(self);
+        if (silent)
+            pool_.retireIdle();
+        if (exchange)
+            exchange->finish({ false, exchange->sent, {} });
+    }
+
+    void Connection::expired() { fail(exchange_ != nullptr); }
+
+    void Connection::close()
+    {
+        closed_ = true;
+        shared_.deadlines.remove(*this);
+        std::error_code ignored;
+        socket_.close(ignored);
+    }
+
+    void Pool::submit(std::shared_ptr<Exchange> exchange)
+    {
+        waiting_.push_back(std::move(exchange));
+        serve();
+    }
+
+    void Pool::serve()
+    {
+        while (!waiting_.empty()) {
+            auto exchange = waiting_.front();
+            if (!endpoint_) {
+                waiting_.pop_front();
+                asio::post(shared_.io, [exchange] { exchange->finish({}); });
+            } else if (!idle_.empty()) {
+                waiting_.pop_front();
+                auto connection = idle_.back();
+                idle_.pop_back();
+                connection->run(std::move(exchange));
+            } else if (connections_.size() < shared_.options.connectionsPerAddress) {
+                waiting_.pop_front();
+                auto connection = std::make_shared<Connection>(shared_, *this);
+                connections_.insert(connection);
+                connection->open(*endpoint_, std::move(exchange));
+            } else {
+                shared_.deadlines.set(*this, exchange->deadline);
+                return;
+            }
+        }
+    }
+
+    void Pool::expired()
+    {
+        std::vector<std::shared_ptr<Exchange>> late;
+        auto now = BootClock::now();
+        for (auto item = waiting_.begin(); item != waiting_.end();)
+            if ((*item)->deadline <= now) {
+                late.push_back(std::move(*item));
+                item = waiting_.erase(item);
+            } else
+                ++item;
+        serve();
+        for (auto& exchange : late)
+            exchange->finish({});
+    }
+
+    void Pool::idle(const std::shared_ptr<Connection>& connection)
+    {
+        idle_.push_back(connection);
+        serve();
+    }
+
+    void Pool::closed(const std::shared_ptr<Connection>& connection)
+    {
+        connections_.erase(connection);
+        idle_.erase(std::remove(idle_.begin(), idle_.end(), connection), idle_.end());
+        serve();
+    }
+
+    void Pool::retireIdle()
+    {
+        auto idle = std::move(idle_);
+        idle_.clear();
+        for (auto& connection : idle) {
+            connection->close();
+            connections_.erase(connection);
+        }
+    }
+
+    void Pool::stop()
+    {
+        shared_.deadlines.remove(*this);
+        waiting_.clear();
+        idle_.clear();
+        for (const auto& connection : connections_)
+            connection->close();
+        connections_.clear();
+    }
+
+} // namespace
+
+class HttpClient::Implementation {
+public:
+    Implementation(asio::io_context& io, DeadlineQueue& deadlines, HttpClientOptions options)
+        : shared_ { io, deadlines, options }
+    {
+    }
+
+    void send(const std::string& address, HttpRequest&& request, Milliseconds timeout, Handler&& handler)
+    {
+        auto head = HttpHead::request(request.method, request.target);
+        head.add("Host", address);
+        if (!request.contentType.empty())
+            head.add("Content-Type", request.contentType);
+        for (const auto& header : request.headers)
+            head.add(header.name, header.value);
+        if (!request.body.empty() || request.method != "GET")
+            head.add("Content-Length", request.body.size());
+        auto exchange = std::make_shared<Exchange>();
+        exchange->bytes = head.finish() + request.body;
+        exchange->deadline = BootClock::now() + timeout;
+        exchange->handler = std::move(handler);
+        auto& pool = pools_[address];
+        if (!pool)
+            pool = std::make_unique<Pool>(shared_, address);
+        pool->submit(std::move(exchange));
+    }
+
+    uint64_t connectionsOpened() const { return shared_.opened; }
+
+    void stop()
+    {
+        for (auto& [address, pool] : pools_)
+            pool->stop();
+    }
+
+private:
+    Shared shared_;
+    std::unordered_map<std::string, std::unique_ptr<Pool>> pools_;
+};
+
+HttpClient::HttpClient(asio::io_context& io, DeadlineQueue& deadlines, HttpClientOptions options)
+    : implementation_(std::make_unique<Implementation>(io, deadlines, options))
+{
+}
+
+HttpClient::~HttpClient() { stop(); }
+
+void HttpClient::send(const std::string& address, HttpRequest request, Milliseconds timeout, Handler handler)
+{
+    implementation_->send(address, std::move(request), timeout, std::move(handler));
+}
+
+uint64_t HttpClient::connectionsOpened() const { return implementation_->connectionsOpened(); }
+
+void HttpClient::stop() { implementation_->stop(); }
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Http/HttpServer.cpp
@@ -0,0 +1,307 @@
+#include "HttpServer.h"
+
+#include "../Base/Logging.h"
+#include "Address.h"
+#include "HttpHead.h"
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <unordered_set>
+
+namespace shallotdrift {
+
+using asio::ip::tcp;
+
+// Pause before accepting again after a failure such as a lack of file descriptors.
+static constexpr Milliseconds acceptRetryDelay { 100 };
+// Time for a client to read a last answer: closing with unread bytes would reset the connection.
+static constexpr Milliseconds lingerTime { 500 };
+// Bytes of pipelined requests that are read ahead.
+static constexpr size_t maximumReadAhead = 64 << 10;
+
+namespace {
+
+    class Session;
+
+    struct Shared {
+        DeadlineQueue& deadlines;
+        HttpServerOptions options;
+        HttpServer::Handler handler;
+        bool draining = false;
+        size_t openRequests = 0;
+        std::unordered_set<std::shared_ptr<Session>> sessions {};
+        std::array<char, 64 << 10> scratch {};
+    };
+
+    // One client's connection.
+    class Session : public std::enable_shared_from_this<Session>, public Expiring {
+    public:
+        Session(tcp::socket socket, Shared& shared)
+            : socket_(std::move(socket))
+            , shared_(shared)
+            , reader_(HttpReader::Type::Request, shared.options.limits)
+        {
+        }
+
+        void start()
+        {
+            shared_.deadlines.set(*this, BootClock::now() + shared_.options.idleTimeout);
+            read();
+        }
+
+        void stopIfIdle()
+        {
+            if (state_ == State::Reading && !reader_.started())
+                close();
+        }
+
+        void close()
+        {
+            if (state_ == State::Closed)
+                return;
+            auto self = shared_from_this();
+            if (state_ == State::Processing || state_ == State::Writing)
+                --shared_.openRequests;
+            state_ = State::Closed;
+            shared_.deadlines.remove(*this);
+            std::error_code ignored;
+            socket_.close(ignored);
+            shared_.sessions.erase(self);
+        }
+
+    private:
+        enum class State : uint8_t { Reading, Processing, Writing, Lingering, Closed };
+
+        void read()
+        {
+            if (reading_ || state_ == State::Closed || pending_.size() > maximumReadAhead)
+                return;
+            reading_ = true;
+            socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
+                self->reading_ = false;
+                if (!error && self->state_ != State::Closed)
+                    self->onReadable();
+            });
+        }
+
+        void onReadable()
+        {
+            std::error_code error;
+            size_t length = socket_.read_some(asio::buffer(shared_.scratch), error);
+            if (error == asio::error::would_block || error == asio::error::try_again) {
+                read();
+                return;
+            }
+            if (error) {
+                close();
+                return;
+            }
+            std::string_view bytes(shared_.scratch.data(), length);
+            if (state_ == State::Reading)
+                consume(bytes);
+            else if (state_ != State::Lingering)
+                pending_.append(bytes);
+            read();
+        }
+
+        void consume(std::string_view bytes)
+        {
+            bool started = reader_.started();
+            size_t used = reader_.feed(bytes);
+            if (!started && reader_.started())
+                shared_.deadlines.set(*this, BootClock::now() + shared_.options.readTimeout);
+            if (reader_.state() == HttpReader::State::Complete) {
+                pending_.assign(bytes.substr(used));
+                dispatch();
+            } else if (reader_.state() == HttpReader::State::Failed)
+                refuse();
+        }
+
+        void refuse()
+        {
+            unsigned status = reader_.failure() == HttpReader::Failure::BodyTooLarge ? 413
+                : reader_.failure() == HttpReader::Failure::HeaderTooLarge           ? 431
+                                                                                     : 400;
+            keepAlive_ = false;
+            state_ = State::Processing;
+            ++shared_.openRequests;
+            write({ status, {}, "text/plain" });
+        }
+
+        void dispatch()
+        {
+            state_ = State::Processing;
+            ++shared_.openRequests;
+            ++number_;
+            shared_.deadlines.set(*this, Instant::max());
+            keepAlive_ = reader_.message().keepAlive;
+            shared_.handler(reader_.take(), [weak = weak_from_this(), number = number_](HttpResponse&& response) {
+                auto self = weak.lock();
+                if (self && self->state_ == State::Processing && self->number_ == number)
+                    self->write(std::move(response));
+            });
+        }
+
+        void write(HttpResponse&& response)
+        {
+            state_ = State::Writing;
+            keepAlive_ = keepAlive_ && !shared_.draining;
+            auto head = HttpHead::response(response.status);
+            if (!response.body.empty())
+                head.add("Content-Type", response.contentType);
+            for (const auto& header : response.headers)
+                head.add(header.name, header.value);
+            if (!keepAlive_)
+                head.add("Connection", std::string_view("close"));
+            head.add("Content-Length", response.body.size());
+            output_ = head.finish() + response.body;
+            shared_.deadlines.set(*this, BootClock::now() + shared_.options.idleTimeout);
+            asio::async_write(
+                socket_, asio::buffer(output_), [self = shared_from_this()](std::error_code error, size_t) {
+                    if (self->state_ != State::Writing)
+                        return;
+                    if (error)
+                        self->close();
+                    else
+                        self->onWritten();
+                });
+        }
+
+        void onWritten()
+        {
+            --shared_.openRequests;
+            output_ = {};
+            if (!keepAlive_) {
+                state_ = State::Lingering;
+                std::error_code ignored;
+                socket_.shutdown(tcp::socket::shutdown_send, ignored);
+                shared_.deadlines.set(*this, BootClock::now() + lingerTime);
+                read();
+                return;
+            }
+            state_ = State::Reading;
+            shared_.deadlines.set(*this, BootClock::now() + shared_.options.idleTimeout);
+            if (!pending_.empty()) {
+                auto bytes = std::move(pending_);
+                pending_ = {};
+                consume(bytes);
+            }
+            read();
+        }
+
+        void expired() override
+        {
+            if (state_ == State::Reading && reader_.started()) {
+                keepAlive_ = false;
+                state_ = State::Processing;
+                ++shared_.openRequests;
+                write({ 408, {}, "text/plain" });
+            } else
+                close();
+        }
+
+        tcp::socket socket_;
+        Shared& shared_;
+        HttpReader reader_;
+        State state_ = State::Reading;
+        bool reading_ = false;
+        bool keepAlive_ = true;
+        uint64_t number_ = 0; // of the current request
+        std::string pending_; // bytes after the current request
+        std::string output_;
+    };
+
+} // namespace
+
+class HttpServer::Implementation {
+public:
+    Implementation(asio::io_context& io, DeadlineQueue& deadlines, HttpServerOptions&& options, Handler&& handler)
+        : acceptor_(io)
+        , acceptTimer_(io)
+        , shared_ { deadlines, std::move(options), std::move(handler) }
+    {
+    }
+
+    ~Implementation()
+    {
+        auto sessions = shared_.sessions;
+        for (const auto& session : sessions)
+            session->close();
+    }
+
+    Result<void> start()
+    {
+        BOOST_LEAF_AUTO(endpoint, parseAddress(shared_.options.listenAddress));
+        BOOST_LEAF_CHECK(listen(acceptor_, endpoint));
+        accept();
+        return {};
+    }
+
+    void closeListener()
+    {
+        shared_.draining = true;
+        std::error_code ignored;
+        acceptor_.close(ignored);
+        auto sessions = shared_.sessions;
+        for (const auto& session : sessions)
+            session->stopIfIdle();
+    }
+
+    Shared& shared() { return shared_; }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
+            if (!acceptor_.is_open())
+                return;
+            if (error) {
+                logger("http")->warn("cannot accept a connection: {}", error.message());
+                acceptTimer_.expires_after(acceptRetryDelay);
+                acceptTimer_.async_wait([this](std::error_code timerError) {
+                    if (!timerError)
+                        accept();
+                });
+                return;
+            }
+            if (shared_.sessions.size() < shared_.options.maximumConnections) {
+                socket.set_option(tcp::no_delay(true), error);
+                socket.non_blocking(true, error);
+                auto session = std::make_shared<Session>(std::move(socket), shared_);
+                shared_.sessions.insert(session);
+                session->start();
+            }
+            accept();
+        });
+    }
+
+    tcp::acceptor acceptor_;
+    asio::steady_timer acceptTimer_;
+    Shared shared_;
+};
+
+HttpServer::HttpServer(asio::io_context& io, DeadlineQueue& deadlines, HttpServerOptions options, Handler handler)
+    : implementation_(std::make_unique<Implementation>(io, deadlines, std::move(options), std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+Result<void> HttpServer::start() { return implementation_->start(); }
+
+void HttpServer::setLimits(HttpLimits limits, Milliseconds readTimeout, Milliseconds idleTimeout)
+{
+    auto& options = implementation_->shared().options;
+    options.limits = limits;
+    options.readTimeout = readTimeout;
+    options.idleTimeout = idleTimeout;
+}
+
+void HttpServer::beginDrain() { implementation_->shared().draining = true; }
+void HttpServer::closeListener() { implementation_->closeListener(); }
+size_t HttpServer::openRequests() const { return implementation_->shared().openRequests; }
+size_t HttpServer::connections() const { return implementation_->shared().sessions.size(); }
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Jobs/Job.cpp
@@ -0,0 +1,280 @@
+#include "Job.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace shallotdrift {
+
+using nlohmann::json;
+
+// Layout of the durable forms; a process does not read records of a layout that it does not know.
+static constexpr int specLayout = 1;
+static constexpr int stateLayout = 1;
+
+Job::Job(
+    std::string id, std::string queue, std::string service, JobSpec spec, WallTime arrived, uint32_t maximumAttempts)
+    : id_(std::move(id))
+    , queue_(std::move(queue))
+    , service_(std::move(service))
+    , spec_(std::move(spec))
+    , arrived_(arrived)
+    , maximumAttempts_(maximumAttempts)
+{
+    openDueOccurrences(arrived);
+}
+
+void Job::setStatus(JobStatus status, WallTime now)
+{
+    status_ = status;
+    ended_ = now;
+    dirty = true;
+}
+
+bool Job::lasting() const
+{
+    return std::any_of(spec_.steps.begin(), spec_.steps.end(), [](const StepSpec& step) { return step.lasting; });
+}
+
+WallTime Job::dueTime(uint32_t occurrence) const
+{
+    return timed() ? spec_.firstRun + occurrence * spec_.interval : arrived_;
+}
+
+Occurrence Job::makeOccurrence(uint32_t number) const
+{
+    Occurrence occurrence;
+    occurrence.number = number;
+    for (const auto& stepSpec : spec_.steps) {
+        Step step;
+        step.tasks.resize(stepSpec.count);
+        step.remaining = stepSpec.count;
+        occurrence.steps.push_back(std::move(step));
+    }
+    occurrence.remainingSteps = static_cast<uint32_t>(occurrence.steps.size());
+    return occurrence;
+}
+
+void Job::openDueOccurrences(WallTime now)
+{
+    while (hasUnopened() && dueTime(opened_) <= now) {
+        open_.emplace(opened_, makeOccurrence(opened_));
+        ++opened_;
+        dirty = true;
+    }
+}
+
+Task* Job::find(const TaskId& id)
+{
+    auto occurrence = open_.find(id.occurrence);
+    if (occurrence == open_.end() || id.step >= occurrence->second.steps.size())
+        return nullptr;
+    auto& tasks = occurrence->second.steps[id.step].tasks;
+    return id.index < tasks.size() ? &tasks[id.index] : nullptr;
+}
+
+bool Job::stepReady(const Occurrence& occurrence, uint32_t step) const
+{
+    const auto& after = spec_.steps[step].after;
+    return std::all_of(
+        after.begin(), after.end(), [&](uint32_t earlier) { return occurrence.steps[earlier].remaining == 0; });
+}
+
+void Job::markDone(const TaskId& id, WallTime now)
+{
+    auto* task = find(id);
+    if (!task || task->state == TaskState::Done)
+        return;
+    task->state = TaskState::Done;
+    task->worker.clear();
+    task->checkpoint.clear();
+    dirty = true;
+    auto& occurrence = open_.at(id.occurrence);
+    if (--occurrence.steps[id.step].remaining == 0 && --occurrence.remainingSteps == 0) {
+        open_.erase(id.occurrence);
+        if (++closed_ == occurrenceCount() && active())
+            setStatus(JobStatus::Completed, now);
+    }
+}
+
+void Job::forEachTask(const std::function<void(const TaskId&, Task&)>& visit)
+{
+    for (auto& [number, occurrence] : open_)
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step)
+            for (uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index)
+                visit({ id_, number, step, index }, occurrence.steps[step].tasks[index]);
+}
+
+bool Job::hasRuns() const
+{
+    for (const auto& [number, occurrence] : open_)
+        for (const auto& step : occurrence.steps)
+            for (const auto& task : step.tasks)
+                if (!task.worker.empty())
+                    return true;
+    return false;
+}
+
+double Job::remainingWork() const
+{
+    double work = 0;
+    for (const auto& [number, occurrence] : open_)
+        for (size_t step = 0; step < occurrence.steps.size(); ++step)
+            if (!spec_.steps[step].lasting)
+                work += static_cast<double>(occurrence.steps[step].remaining)
+                    * static_cast<double>(spec_.steps[step].each.milliCores) / 1000
+                    * static_cast<double>(spec_.steps[step].estimate.count());
+    return work;
+}
+
+static Milliseconds longestPath(const std::vector<StepSpec>& steps, const Occurrence* occurrence)
+{
+    std::vector<Milliseconds> finish(steps.size());
+    Milliseconds longest { 0 };
+    for (size_t step = 0; step < steps.size(); ++step) {
+        Milliseconds start { 0 };
+        for (uint32_t earlier : steps[step].after)
+            start = std::max(start, finish[earlier]);
+        bool done = occurrence && occurrence->steps[step].remaining == 0;
+        finish[step] = start + (done ? Milliseconds { 0 } : steps[step].estimate);
+        longest = std::max(longest, finish[step]);
+    }
+    return longest;
+}
+
+Milliseconds Job::longestChain() const { return longestPath(spec_.steps, nullptr); }
+
+Milliseconds Job::remainingChain(const Occurrence& occurrence) const { return longestPath(spec_.steps, &occurrence); }
+
+static json encodeStep(const StepSpec& step)
+{
+    return json::array({ step.count, step.each.milliCores, step.each.memoryMegabytes, step.each.accelerators,
+        step.estimate.count(), step.after, step.checkpoints, step.gang, step.sameRack, step.requiredLabel,
+        step.dataRack, step.maximumPerWorker, step.copiesAllowed, step.lasting, step.image, step.tailTarget.count(),
+        step.fillsIdle, step.mayMiss });
+}
+
+static StepSpec decodeStep(const json& row)
+{
+    StepSpec step;
+    size_t column = 0;
+    auto next = [&](auto& field) { field = row.at(column++).get<std::decay_t<decltype(field)>>(); };
+    auto nextTime = [&](Milliseconds& field) { field = Milliseconds { row.at(column++).get<int64_t>() }; };
+    next(step.count);
+    next(step.each.milliCores);
+    next(step.each.memoryMegabytes);
+    next(step.each.accelerators);
+    nextTime(step.estimate);
+    next(step.after);
+    next(step.checkpoints);
+    next(step.gang);
+    next(step.sameRack);
+    next(step.requiredLabel);
+    next(step.dataRack);
+    next(step.maximumPerWorker);
+    next(step.copiesAllowed);
+    next(step.lasting);
+    next(step.image);
+    nextTime(step.tailTarget);
+    next(step.fillsIdle);
+    next(step.mayMiss);
+    return step;
+}
+
+static std::string packed(const json& value)
+{
+    std::string bytes;
+    json::to_msgpack(value, nlohmann::detail::output_adapter<char>(bytes));
+    return bytes;
+}
+
+std::string Job::encodeSpec() const
+{
+    auto steps = json::array();
+    for (const auto& step : spec_.steps)
+        steps.push_back(encodeStep(step));
+    return packed(json::array({ specLayout, queue_, service_, spec_.payload, std::move(steps), spec_.occurrences,
+        unixMilliseconds(spec_.firstRun), spec_.interval.count(), unixMilliseconds(arrived_), maximumAttempts_ }));
+}
+
+std::optional<Job> Job::decodeSpec(std::string id, std::string_view bytes)
+{
+    try {
+        auto row = json::from_msgpack(bytes);
+        if (row.at(0) != specLayout)
+            return std::nullopt;
+        JobSpec spec;
+        spec.payload = row.at(3).get<std::string>();
+        for (const auto& step : row.at(4))
+            spec.steps.push_back(decodeStep(step));
+        spec.occurrences = row.at(5).get<uint32_t>();
+        spec.firstRun = wallTimeFromUnix(Milliseconds { row.at(6).get<int64_t>() });
+        spec.interval = Milliseconds { row.at(7).get<int64_t>() };
+        Job job(std::move(id), row.at(1).get<std::string>(), row.at(2).get<std::string>(), std::move(spec),
+            wallTimeFromUnix(Milliseconds { row.at(8).get<int64_t>() }), row.at(9).get<uint32_t>());
+        job.specStored = true;
+        job.dirty = false;
+        return job;
+    } catch (const json::exception&) {
+        return std::nullopt; // the caller logs the key
+    }
+}
+
+// A row for each task that has ever been started or is done; the others are as in a new job.
+std::string Job::encodeState() const
+{
+    auto tasks = json::array();
+    for (const auto& [number, occurrence] : open_)
+        for (size_t step = 0; step < occurrence.steps.size(); ++step)
+            for (size_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+                const auto& task = occurrence.steps[step].tasks[index];
+                if (task.run == 0 && task.state == TaskState::Waiting)
+                    continue;
+                tasks.push_back(json::array({ number, step, index, task.state == TaskState::Done, task.run,
+                    task.failures, task.worker, task.checkpoint }));
+            }
+    auto open = json::array();
+    for (const auto& entry : open_)
+        open.push_back(entry.first);
+    return packed(json::array({ stateLayout, static_cast<int>(status_), unixMilliseconds(ended_), begun_, opened_,
+        closed_, std::move(open), std::move(tasks) }));
+}
+
+bool Job::decodeState(std::string_view bytes)
+{
+    try {
+        auto row = json::from_msgpack(bytes);
+        if (row.at(0) != stateLayout)
+            return false;
+        status_ = static_cast<JobStatus>(row.at(1).get<int>());
+        ended_ = wallTimeFromUnix(Milliseconds { row.at(2).get<int64_t>() });
+        begun_ = row.at(3).get<bool>();
+        opened_ = row.at(4).get<uint32_t>();
+        closed_ = row.at(5).get<uint32_t>();
+        open_.clear();
+        for (const auto& number : row.at(6))
+            open_.emplace(number.get<uint32_t>(), makeOccurrence(number.get<uint32_t>()));
+        for (const auto& entry : row.at(7)) {
+            auto* task
+                = find({ id_, entry.at(0).get<uint32_t>(), entry.at(1).get<uint32_t>(), entry.at(2).get<uint32_t>() });
+            if (!task)
+                return false;
+            task->run = entry.at(4).get<uint32_t>();
+            task->failures = entry.at(5).get<uint32_t>();
+            task->worker = entry.at(6).get<std::string>();
+            task->checkpoint = entry.at(7).get<std::string>();
+            if (entry.at(3).get<bool>()) {
+                task->state = TaskState::Done;
+                auto& occurrence = open_.at(entry.at(0).get<uint32_t>());
+                if (--occurrence.steps[entry.at(1).get<size_t>()].remaining == 0)
+                    --occurrence.remainingSteps;
+            } else if (!task->worker.empty())
+                task->state = TaskState::Placed; // the worker's lists will show whether it was started
+        }
+        dirty = false;
+        return true;
+    } catch (const json::exception&) {
+        return false;
+    }
+}
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -0,0 +1,250 @@
+// Placing: which waiting task goes to which worker, and which runs leave a worker that is to be emptied.
+#include "ServiceScheduler.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace shallotdrift {
+
+std::vector<Worker*> ServiceScheduler::usableWorkers(Instant now)
+{
+    std::vector<Worker*> usable;
+    for (auto& [id, worker] : workers_)
+        if (worker.listed && worker.reported && !worker.info.draining && !worker.cordoned
+            && worker.quarantinedUntil <= now && now - worker.answeredAt < options_.contactTimeout)
+            usable.push_back(&worker);
+    return usable;
+}
+
+// Lasting tasks first, since they earn all the time; then by priority and objective. Jobs past their objective come
+// last: they earn little, and running them first would make the others late as well.
+std::vector<Job*> ServiceScheduler::jobsInOrder(const Now& now)
+{
+    struct Rank {
+        bool serving;
+        bool late;
+        uint32_t priority;
+        WallTime objective;
+        Job* job;
+    };
+    std::vector<Rank> ranks;
+    for (auto& [id, job] : jobs_) {
+        if (!job.active())
+            continue;
+        auto queue = queues_.find(job.queue());
+        auto objective = objectiveOf(job);
+        auto left = job.open().empty() ? Milliseconds { 0 } : job.remainingChain(job.open().begin()->second);
+        ranks.push_back({ job.lasting(), now.wall + left > objective,
+            queue == queues_.end() ? 0 : queue->second.priority, objective, &job });
+    }
+    std::sort(ranks.begin(), ranks.end(), [](const Rank& left, const Rank& right) {
+        return std::make_tuple(!left.serving, left.late, left.priority, left.objective)
+            < std::make_tuple(!right.serving, right.late, right.priority, right.objective);
+    });
+    std::vector<Job*> jobs;
+    jobs.reserve(ranks.size());
+    for (const auto& rank : ranks)
+        jobs.push_back(rank.job);
+    return jobs;
+}
+
+static bool hasLabel(const Worker& worker, const std::string& label)
+{
+    return std::find(worker.info.labels.begin(), worker.info.labels.end(), label) != worker.info.labels.end();
+}
+
+static size_t runsOfStep(const Worker& worker, const std::string& job, uint32_t occurrence, uint32_t step)
+{
+    size_t count = 0;
+    for (auto run = worker.runs.lower_bound({ job, occurrence, step, 0 }); run != worker.runs.end(); ++run) {
+        if (run->first.job != job || run->first.occurrence != occurrence || run->first.step != step)
+            break;
+        ++count;
+    }
+    return count;
+}
+
+// Fills the workers one after another, so that whole instances become free for other pools. Tasks that serve and tasks
+// that fill disturb each other and are spread instead.
+Worker* ServiceScheduler::choose(
+    const Job& job, const Occurrence& occurrence, uint32_t step, const std::vector<Worker*>& workers) const
+{
+    const auto& spec = job.spec().steps[step];
+    auto needed = spec.each;
+    if (spec.fillsIdle)
+        needed.milliCores = 0;
+    Worker* best = nullptr;
+    std::tuple<bool, double, double> bestScore { true, std::numeric_limits<double>::max(), 0 };
+    for (auto* worker : workers) {
+        auto room = worker->room();
+        if (!needed.fitsIn(room) || (!spec.requiredLabel.empty() && !hasLabel(*worker, spec.requiredLabel)))
+            continue;
+        if (spec.maximumPerWorker > 0
+            && runsOfStep(*worker, job.id(), occurrence.number, step) >= spec.maximumPerWorker)
+            continue;
+        bool far = !spec.dataRack.empty() && !hasLabel(*worker, spec.dataRack);
+        double disturbers = 0;
+        if (spec.fillsIdle || spec.tailTarget.count() > 0)
+            for (const auto& [id, run] : worker->runs)
+                disturbers += spec.fillsIdle ? (run.tailTarget.count() > 0 ? 1 : 0.3) : (run.fills ? 1 : 0);
+        std::tuple<bool, double, double> score { far, disturbers,
+            spec.fillsIdle ? -static_cast<double>(room.milliCores) : static_cast<double>(room.milliCores) };
+        if (!best || score < bestScore) {
+            best = worker;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+StartOrder ServiceScheduler::orderFor(const Job& job, const TaskId& id, const Task& task) const
+{
+    return { task.worker, id, task.run, job.spec().payload, task.checkpoint };
+}
+
+// All members of a gang or none; they share a run number and a checkpoint.
+bool ServiceScheduler::placeGang(
+    Job& job, Occurrence& occurrence, uint32_t step, std::vector<Worker*>& workers, std::vector<StartOrder>& orders)
+{
+    const auto& spec = job.spec().steps[step];
+    auto& tasks = occurrence.steps[step].tasks;
+    uint32_t run = 0;
+    std::string checkpoint;
+    for (const auto& task : tasks) {
+        if (!task.worker.empty())
+            return false; // members of the earlier run have not ended yet
+        run = std::max(run, task.run);
+        checkpoint = std::max(checkpoint, task.checkpoint);
+    }
+    auto tryOn = [&](const std::vector<Worker*>& candidates) {
+        std::vector<std::pair<Worker*, TaskId>> placed;
+        for (uint32_t index = 0; index < tasks.size(); ++index) {
+            auto* worker = choose(job, occurrence, step, candidates);
+            if (!worker)
+                break;
+            TaskId id { job.id(), occurrence.number, step, index };
+            assign(*worker, id, tasks[index], spec, run + 1);
+            tasks[index].checkpoint = checkpoint;
+            placed.emplace_back(worker, id);
+        }
+        if (placed.size() == tasks.size())
+            return true;
+        for (auto& [worker, id] : placed) {
+            worker->used -= worker->runs.at(id).held;
+            worker->runs.erase(id);
+            auto& task = tasks[id.index];
+            task.state = TaskState::Waiting;
+            task.worker.clear();
+            task.run = run;
+        }
+        return false;
+    };
+    bool done = false;
+    if (spec.sameRack) {
+        std::map<std::string, std::vector<Worker*>> racks;
+        for (auto* worker : workers)
+            racks[worker->info.rack.value_or("")].push_back(worker);
+        for (const auto& rack : racks)
+            if ((done = tryOn(rack.second)))
+                break;
+    }
+    if (!done && !tryOn(workers))
+        return false;
+    for (uint32_t index = 0; index < tasks.size(); ++index)
+        orders.push_back(orderFor(job, { job.id(), occurrence.number, step, index }, tasks[index]));
+    return true;
+}
+
+void ServiceScheduler::placeJob(
+    Job& job, std::vector<Worker*>& workers, std::vector<StartOrder>& orders, const Now& now)
+{
+    size_t before = orders.size();
+    for (auto& [number, occurrence] : job.open())
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (occurrence.steps[step].remaining == 0 || !job.stepReady(occurrence, step))
+                continue;
+            const auto& spec = job.spec().steps[step];
+            auto& tasks = occurrence.steps[step].tasks;
+            if (spec.gang) {
+                bool waiting = std::all_of(tasks.begin(), tasks.end(),
+                    [&](const Task& task) { return task.state == TaskState::Waiting && task.notBefore <= now.steady; });
+                if (waiting)
+                    placeGang(job, occurrence, step, workers, orders);
+                continue;
+            }
+            for (uint32_t index = 0; index < tasks.size(); ++index) {
+                auto& task = tasks[index];
+                if (task.state != TaskState::Waiting || task.notBefore > now.steady)
+                    continue;
+                auto* worker = choose(job, occurrence, step, workers);
+                if (!worker)
+                    break;
+                TaskId id { job.id(), number, step, index };
+                assign(*worker, id, task, spec, task.run + 1);
+                orders.push_back(orderFor(job, id, task));
+            }
+        }
+    if (orders.size() > before) {
+        job.setBegun();
+        job.dirty = true;
+    }
+}
+
+std::vector<StartOrder> ServiceScheduler::plan(const Now& now)
+{
+    std::vector<StartOrder> orders;
+    for (auto& [workerId, worker] : workers_)
+        for (auto& [id, run] : worker.runs) {
+            if (!run.uncertain || run.confirmed || run.stopWanted || run.resendAt > now.steady)
+                continue;
+            auto* job = find(id.job);
+            auto* task = job ? job->find(id) : nullptr;
+            if (!task || task->run != run.run)
+                continue;
+            run.resendAt = Instant::max();
+            orders.push_back(orderFor(*job, id, *task));
+            orders.back().repeated = true;
+        }
+    for (auto& [id, job] : jobs_)
+        if (job.active() && job.hasUnopened())
+            job.openDueOccurrences(now.wall);
+    planEvacuations(now);
+    auto workers = usableWorkers(now.steady);
+    if (workers.empty())
+        return orders;
+    for (auto* job : jobsInOrder(now))
+        placeJob(*job, workers, orders, now);
+    return orders;
+}
+
+// Lasting tasks leave a worker that is draining or to be emptied, no more of a step at once than it may miss.
+void ServiceScheduler::planEvacuations(const Now& now)
+{
+    std::vector<Worker*> targets;
+    for (auto& [workerId, worker] : workers_) {
+        if (!worker.cordoned && !worker.info.draining)
+            continue;
+        if (targets.empty())
+            targets = usableWorkers(now.steady);
+        for (auto& [id, run] : worker.runs) {
+            if (!run.lasting || run.stopWanted || !run.confirmed)
+                continue;
+            auto* job = find(id.job);
+            if (!job || !job->active())
+                continue;
+            auto& occurrence = job->open().at(id.occurrence);
+            const auto& tasks = occurrence.steps[id.step].tasks;
+            auto mayMiss = job->spec().steps[id.step].mayMiss;
+            size_t away = std::count_if(tasks.begin(), tasks.end(), [](const Task& task) { return !task.atWork; });
+            bool self = !tasks[id.index].atWork;
+            if (mayMiss > 0 && away - (self ? 1 : 0) >= mayMiss && !worker.info.draining)
+                continue;
+            if (!worker.info.draining && !choose(*job, occurrence, id.step, targets))
+                continue; // nowhere to go yet
+            run.stopWanted = true;
+            job->find(id)->atWork = false;
+        }
+    }
+}
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -0,0 +1,214 @@
+#pragma once
+
+#include "Job.h"
+#include "WorkerLease.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace shallotdrift {
+
+inline bool operator<(const TaskId& left, const TaskId& right)
+{
+    return std::tie(left.job, left.occurrence, left.step, left.index)
+        < std::tie(right.job, right.occurrence, right.step, right.index);
+}
+
+struct Now {
+    Instant steady;
+    WallTime wall;
+};
+
+struct SchedulerOptions {
+    LeaseOptions lease;
+    Milliseconds statusKept { 120000 }; // how long the state of an ended job can be asked for
+    Milliseconds contactTimeout { 1800 }; // no new work for a worker that has not answered for so long
+    Milliseconds stopRepeat { 400 };
+    Milliseconds failurePause { 100 }; // doubles with each failure of a task
+    Milliseconds longestFailurePause { 2000 };
+    Milliseconds quarantine { 6000 };
+};
+
+struct StartOrder {
+    std::string worker;
+    TaskId task;
+    uint32_t run = 0;
+    std::string payload;
+    std::string checkpoint;
+    bool repeated = false; // its record is stored already
+};
+
+struct StopOrder {
+    std::string worker;
+    TaskId task;
+    uint32_t run = 0;
+};
+
+struct PaceOrder {
+    std::string worker;
+    TaskId task;
+    uint32_t run = 0;
+    uint32_t percent = 100;
+};
+
+// A change of the durable state; an empty value removes the key.
+struct StateRecord {
+    std::string key;
+    std::string value;
+};
+
+// What the owner of a service knows of one worker.
+struct Worker {
+    struct Run {
+        uint32_t run = 0;
+        Resources held;
+        bool fills = false;
+        bool lasting = false;
+        Milliseconds tailTarget { 0 };
+        Milliseconds estimate { 0 };
+        bool sent = false; // the start may have reached the worker
+        bool uncertain = false; // a start got no answer, so it may still be carried out
+        bool confirmed = false; // the worker has answered for this run, or it is read from its lists
+        Instant confirmedAt {};
+        Instant resendAt {}; // of a start without an answer
+        bool stopWanted = false;
+        Instant stopSent {};
+        int32_t percent = 0;
+        Instant progressAt {}; // when the percentage last rose
+        Milliseconds tail { 0 }; // serving tasks
+        uint32_t pace = 100; // percent that was ordered last
+        Instant paceChanged {};
+        Instant calmSince {}; // serving tasks: since when the tail has been well below its target
+    };
+
+    explicit Worker(WorkerLease initial)
+        : lease(initial)
+    {
+    }
+
+    WorkerInfo info;
+    WorkerLease lease;
+    std::map<TaskId, Run> runs; // everything that may be running there
+    Resources used;
+    uint64_t noted = 0; // the ends up to this number are part of the state
+    bool listed = true; // the registry names it
+    bool reported = false; // its lists have been read since this process became the owner
+    bool cordoned = false; // the instance is to leave the pool or to be maintained
+    Instant answeredAt {};
+    Instant quarantinedUntil {};
+    double failureScore = 0;
+
+    Resources room() const
+    {
+        Resources free = info.capacity;
+        free -= used;
+        return free;
+    }
+};
+
+// The decisions of the owner of one service: which task runs on which worker. Has no sockets, threads or clocks; what
+// it orders becomes valid when the records of collectRecords() are stored.
+class ServiceScheduler {
+public:
+    ServiceScheduler(std::string service, const SchedulerOptions&, Instant now);
+
+    const std::string& service() const { return service_; }
+    void setQueues(std::map<std::string, QueueRule> queues) { queues_ = std::move(queues); }
+
+    // Jobs. add() is for new ones, the others for those read back from the store.
+    void add(Job&&);
+    void restore(Job&&);
+    void restoreEnded(const std::string& id, JobStatus, bool begun, WallTime ended);
+    // After the last restored job: what runs was under way is unknown until their workers have shown their lists.
+    void finishRestore(const Now&);
+    Job* find(const std::string& id);
+    // Status of a job that is known, also of an ended one.
+    std::optional<JobStatus> statusOf(const std::string& id, bool* begun = nullptr) const;
+    bool cancel(const std::string& id, const Now&);
+    size_t pending(const std::string& queue) const;
+    size_t activeJobs() const { return jobs_.size(); }
+    const std::map<std::string, Job>& jobs() const { return jobs_; }
+
+    // Workers.
+    void updateWorker(const WorkerInfo&, Instant now);
+    void unlistWorker(const std::string& id);
+    void setCordon(const std::string& instance, bool cordoned);
+    std::map<std::string, Worker>& workers() { return workers_; }
+    const std::map<std::string, Worker>& workers() const { return workers_; }
+    // The lists of a worker, asked for at this moment. Runs that should not be there are stopped with the next orders.
+    void onReport(const std::string& worker, const WorkerReport&, Instant askedAt, const Now&);
+    // To be asked before an order is sent. False when the state no longer asks for it, for example because its job was
+    // cancelled while the record was being stored; the run is then taken back.
+    bool beginStart(const StartOrder&, const Now&);
+    void onStartAnswer(const StartOrder&, StartRefusal, const Now&);
+    void onStartUnanswered(const StartOrder&, const Now&);
+    void onStopAnswer(const StopOrder&, const Now&);
+    // Everything on the worker has ended: its lease has lapsed or another boot has taken its place.
+    void loseRuns(const std::string& worker, const Now&);
+    // Frees the runs of workers whose leases have lapsed and forgets those that are gone.
+    void expireLeases(const Now&);
+
+    // Decisions.
+    std::vector<StartOrder> plan(const Now&);
+    std::vector<StopOrder> stopsDue(const Now&);
+    std::vector<PaceOrder> pace(const Now&);
+
+    // Durable changes since the last call.
+    std::vector<StateRecord> collectRecords(const Now&);
+    // The job that a record belongs to; states are rewritten, specifications stay.
+    static std::string jobOfKey(const std::string& key);
+    static bool isStateKey(const std::string& key);
+
+    // Processor time in cores that the ready tasks ask for and that runs hold, for the pool planner.
+    struct Demand {
+        double held = 0;
+        double waiting = 0; // of tasks whose turn has come
+        double backlog = 0; // core-seconds of all accepted work
+        size_t late = 0; // jobs past their objective
+    };
+    Demand demand(const Now&) const;
+
+private:
+    struct Ended {
+        JobStatus status = JobStatus::Completed;
+        bool begun = false;
+        WallTime at {};
+    };
+
+    Worker& workerEntry(const std::string& id, Instant now);
+    Worker::Run* findRun(const std::string& worker, const TaskId&, uint32_t run);
+    void assign(Worker&, const TaskId&, Task&, const StepSpec&, uint32_t run);
+    void takeRunning(Worker&, const RunningRow&, const Now&);
+    void takeEnd(Worker&, const EndedRow&, const Now&);
+    // The run has ended or never began; the task may be placed again unless that settles it.
+    void endRun(
+        const std::string& worker, const TaskId&, uint32_t run, RunEnd, const std::string& checkpoint, const Now&);
+    void finishTask(Job&, const TaskId&, const Now&);
+    void countFailure(Job&, const TaskId&, Task&, const Now&);
+    void stopRuns(Job&);
+    void countHealth(Worker&, const Task&, RunEnd, const Now&);
+    void planEvacuations(const Now&);
+    void placeJob(Job&, std::vector<Worker*>&, std::vector<StartOrder>&, const Now&);
+    bool placeGang(Job&, Occurrence&, uint32_t step, std::vector<Worker*>&, std::vector<StartOrder>&);
+    Worker* choose(const Job&, const Occurrence&, uint32_t step, const std::vector<Worker*>&) const;
+    StartOrder orderFor(const Job&, const TaskId&, const Task&) const;
+    std::vector<Worker*> usableWorkers(Instant now);
+    std::vector<Job*> jobsInOrder(const Now&);
+    WallTime objectiveOf(const Job&) const;
+
+    std::string service_;
+    SchedulerOptions options_;
+    Instant takenOver_;
+    std::map<std::string, QueueRule> queues_;
+    std::map<std::string, Job> jobs_; // active ones, and ended ones that still have runs to stop
+    std::unordered_map<std::string, Ended> ended_;
+    std::map<WallTime, std::vector<std::string>> expiry_;
+    std::map<std::string, Worker> workers_;
+    std::vector<StateRecord> pendingRecords_;
+};
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Jobs/WorkerLease.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "../Base/Time.h"
+
+#include <algorithm>
+
+namespace shallotdrift {
+
+struct LeaseOptions {
+    Milliseconds length { 6000 }; // bridges the change of an owner, about 4 s
+    Milliseconds maximum { 10000 }; // the longest lease that a worker grants
+    double clockSlack = 0.02; // a worker's clock may be this much slow
+    Milliseconds margin { 100 };
+};
+
+// The lease on everything that runs on one worker, measured on the worker's own steady clock.
+class WorkerLease {
+public:
+    WorkerLease(const LeaseOptions& options, Instant now)
+        : options_(&options)
+        , lapsesAt_(now + scaled(options.maximum) + options.margin) // an earlier owner may have extended it till now
+    {
+    }
+
+    bool hasClock() const { return sampled_; }
+
+    // The worker's clock showed this value at some moment before now.
+    void sample(Milliseconds clock, Instant now)
+    {
+        clock_ = clock;
+        sampledAt_ = now;
+        sampled_ = true;
+    }
+
+    // End of a lease to ask for now, on the worker's clock. Needs a sample.
+    Milliseconds endToAskFor(Instant now)
+    {
+        auto end = clock_ + std::chrono::floor<Milliseconds>(now - sampledAt_) + options_->length;
+        // An order without an answer may be carried out, so the lease counts from the sending on.
+        lapsesAt_ = std::max(lapsesAt_, sampledAt_ + scaled(end - clock_) + options_->margin);
+        return end;
+    }
+
+    // After this moment nothing that was started under the lease runs.
+    Instant lapsesAt() const { return lapsesAt_; }
+
+private:
+    Duration scaled(Milliseconds time) const
+    {
+        return std::chrono::duration_cast<Duration>(
+            std::chrono::duration<double, std::milli>(static_cast<double>(time.count()) / (1 - options_->clockSlack)));
+    }
+
+    const LeaseOptions* options_;
+    Milliseconds clock_ { 0 };
+    Instant sampledAt_ {};
+    bool sampled_ = false;
+    Instant lapsesAt_;
+};
+
+} // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Node/Membership.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "NodeContext.h"
+
+#include <functional>
+#include <set>
+
+namespace shallotdrift::internal {
+
+// This entry instance's place in the group that divides the partitions, and who owns the others.
+class Membership {
+public:
+    struct Events {
+        std::function<void(uint32_t partition, uint64_t generation)> gained;
+        std::function<void(uint32_t partition)> lost;
+    };
+
+    Membership(NodeContext&, Events);
+
+    void start();
+    // Hands the partitions over, for a planned stop.
+    void leave(std::function<void()> done);
+    // The store has refused this process as the owner; its generation is too old.
+    void partitionRefused(uint32_t partition);
+
+    static std::string topic();
+    const std::string& member() const { return membership_.member; }
+    // Address of the entry instance that owns the partition; empty when it is not known.
+    std::string ownerAddress(uint32_t partition) const;
+    bool ownersKnown() const { return ownersKnown_; }
+    void refreshOwners();
+    // Time since the store last confirmed this membership.
+    Duration unconfirmed(Instant now) const { return now - confirmedAt_; }
+
+private:
+    void join();
+    void later(Milliseconds);
+    void take(const platform::JoinAnswer&);
+    void pollOwners();
+
+    NodeContext& context_;
+    Events events_;
+    platform::Membership membership_;
+    asio::steady_timer joinTimer_;
+    asio::steady_timer ownersTimer_;
+    std::set<uint32_t> owned_;
+    std::map<uint32_t, std::string> owners_; // partition -> member
+    Instant confirmedAt_ {};
+    Instant refreshedAt_ {};
+    bool ownersKnown_ = false;
+    bool refreshing_ = false;
+    bool leaving_ = false;
+};
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -0,0 +1,395 @@
+#include "OwnedPartition.h"
+
+#include "../Base/Logging.h"
+#include "Membership.h"
+
+#include <asio/post.hpp>
+#include <fmt/format.h>
+
+namespace shallotdrift::internal {
+
+static constexpr Milliseconds readTime { 1500 };
+static constexpr Milliseconds retryTime { 200 };
+static constexpr Milliseconds tickInterval { 100 };
+// Beyond this an append, which takes 5 ms, is held up: new jobs are refused at once instead of waiting for it.
+static constexpr Milliseconds stallLimit { 500 };
+// Without a confirmation of the membership for so long another owner may have waited out the workers' leases.
+static constexpr Milliseconds longestUnconfirmed { 12000 };
+static constexpr unsigned notOwnerStatus = 421;
+
+static HttpResponse refusal(unsigned status, std::string_view reason, unsigned retryAfterSeconds)
+{
+    HttpResponse response { status, platform::errorBody(reason) };
+    response.headers.push_back({ "Retry-After", std::to_string(retryAfterSeconds) });
+    return response;
+}
+
+OwnedPartition::Service::Service(NodeContext& context, const std::string& name, const SchedulerOptions& options,
+    uint64_t token, WorkerLinks::Events events)
+    : scheduler(name, options, BootClock::now())
+    , links(context, scheduler, token, std::move(events))
+{
+}
+
+OwnedPartition::OwnedPartition(NodeContext& context, uint32_t number, uint64_t token, std::function<void()> onRefused)
+    : context_(context)
+    , number_(number)
+    , token_(token)
+    , onRefused_(std::move(onRefused))
+    , writer_(context, { Membership::topic(), number }, token, [this] { refused("store"); })
+    , timer_(context.io)
+{
+}
+
+OwnedPartition::~OwnedPartition() { stop(); }
+
+void OwnedPartition::start()
+{
+    logger("owner")->info("partition={} event=taking token={}", number_, token_);
+    ++context_.counters.partitionsTaken;
+    writer_.fence([this] { readPage({}); });
+}
+
+void OwnedPartition::stop()
+{
+    if (!*alive_)
+        return;
+    *alive_ = false;
+    active_ = false;
+    writer_.stop();
+    timer_.cancel();
+    for (auto& [name, service] : services_)
+        service->links.stop();
+    refuseSubmissions();
+    logger("owner")->info("partition={} event=left token={}", number_, token_);
+}
+
+void OwnedPartition::refused(const char* by)
+{
+    logger("owner")->warn("partition={} event=refused token={} by={}", number_, token_, by);
+    ++context_.counters.partitionsLost;
+    // The callback destroys this object, which must not happen below its own frames.
+    asio::post(context_.io, [alive = alive_, callback = onRefused_] {
+        if (*alive)
+            callback();
+    });
+}
+
+void OwnedPartition::readPage(std::string after)
+{
+    context_.store.call(platform::newestCall({ Membership::topic(), number_ }, after), readTime,
+        [this, alive = alive_, after](std::optional<HttpMessage> message) {
+            if (!*alive)
+                return;
+            auto answer = message ? platform::readNewest(*message) : platform::NewestAnswer {};
+            if (answer.status != platform::StoreStatus::Ok) {
+                timer_.expires_after(retryTime);
+                timer_.async_wait([this, alive, after](std::error_code error) {
+                    if (*alive && !error)
+                        readPage(after);
+                });
+                return;
+            }
+            for (auto& record : answer.records) {
+                auto& entry = loaded_[ServiceScheduler::jobOfKey(record.key)];
+                (ServiceScheduler::isStateKey(record.key) ? entry.second : entry.first) = std::move(record.value);
+            }
+            if (answer.more && !answer.records.empty())
+                readPage(answer.records.back().key);
+            else
+                finishLoad();
+        });
+}
+
+void OwnedPartition::finishLoad()
+{
+    active_ = true;
+    onConfiguration();
+    size_t running = 0;
+    for (auto& [id, records] : loaded_) {
+        auto job = Job::decodeSpec(id, records.first);
+        if (!job) {
+            Job ended(id, {}, {}, {}, wallNow(), 1);
+            if (ended.decodeState(records.second) && !services_.empty())
+                services_.begin()->second->scheduler.restoreEnded(id, ended.status(), ended.begun(), ended.ended());
+            else
+                logger("owner")->error("request={} event=unreadable_record partition={}", id, number_);
+            continue;
+        }
+        if (!records.second.empty() && !job->decodeState(records.second))
+            logger("owner")->error("request={} event=unreadable_state partition={}", id, number_);
+        ++running;
+        auto& scheduler = service(job->service()).scheduler;
+        scheduler.restore(std::move(*job));
+    }
+    for (auto& [name, entry] : services_)
+        entry->scheduler.finishRestore(currentTime());
+    logger("owner")->info("partition={} event=active token={} jobs={} kept={} took_ms={}", number_, token_, running,
+        loaded_.size() - running, std::chrono::duration_cast<Milliseconds>(BootClock::now() - startedAt_).count());
+    loaded_.clear();
+    onRegistry();
+    tick();
+}
+
+OwnedPartition::Service& OwnedPartition::service(const std::string& name)
+{
+    auto& entry = services_[name];
+    if (!entry) {
+        SchedulerOptions options;
+        options.lease.maximum = context_.settings.longestLease;
+        options.statusKept = context_.settings.statusKept;
+        entry = std::make_unique<Service>(context_, name, options, token_,
+            WorkerLinks::Events { [this] { pump(); }, [this] { refused("worker"); },
+                [this] { return context_.store.silence(BootClock::now()) < longestUnconfirmed; } });
+    }
+    return *entry;
+}
+
+void OwnedPartition::onConfiguration()
+{
+    if (!active_ || !context_.configuration)
+        return;
+    std::map<std::string, std::map<std::string, QueueRule>> byService;
+    for (const auto& [name, rule] : context_.configuration->services)
+        if (!rule.standby && partitionOf(name, context_.settings.storePartitions) == number_)
+            byService[name];
+    for (const auto& [name, queue] : context_.configuration->queues)
+        if (byService.count(queue.service) != 0)
+            byService[queue.service].emplace(name, queue);
+    for (auto& [name, queues] : byService)
+        service(name).scheduler.setQueues(std::move(queues));
+    onRegistry();
+}
+
+void OwnedPartition::onRegistry()
+{
+    if (!active_)
+        return;
+    auto now = BootClock::now();
+    for (auto& [name, entry] : services_) {
+        std::vector<std::string> unlisted;
+        for (const auto& [id, worker] : entry->scheduler.workers()) {
+            auto found = context_.registry.find(id);
+            if (worker.listed && (found == context_.registry.end() || found->second.service != name))
+                unlisted.push_back(id);
+        }
+        for (const auto& id : unlisted)
+            entry->scheduler.unlistWorker(id);
+        for (const auto& [id, info] : context_.registry)
+            if (info.service == name)
+                entry->scheduler.updateWorker(info, now);
+        entry->links.sync();
+    }
+    pump();
+}
+
+bool OwnedPartition::storeStalled(Instant now) const { return writer_.stalled(now) > stallLimit; }
+
+bool OwnedPartition::knows(const std::string& job) const
+{
+    for (const auto& [name, entry] : services_)
+        if (entry->scheduler.statusOf(job))
+            return true;
+    return false;
+}
+
+void OwnedPartition::handle(OwnerRequest&& request, Reply reply)
+{
+    if (!active_) {
+        reply({ notOwnerStatus });
+        return;
+    }
+    switch (request.type) {
+    case OwnerRequest::Type::Submit:
+        submit(std::move(request), std::move(reply));
+        return;
+    case OwnerRequest::Type::Query:
+        query(request, std::move(reply));
+        return;
+    case OwnerRequest::Type::Cancel:
+        cancel(request, std::move(reply));
+        return;
+    case OwnerRequest::Type::Count: {
+        size_t count = 0;
+        for (const auto& [name, entry] : services_)
+            count += entry->scheduler.pending(request.queue);
+        reply({ 200, platform::pendingBody(count) });
+        return;
+    }
+    }
+}
+
+void OwnedPartition::submit(OwnerRequest&& request, Reply reply)
+{
+    if (knows(request.job)) { // a repeated request; the first one may still be on its way to the store
+        afterStored([reply = std::move(reply)] { reply({ 200 }); });
+        return;
+    }
+    auto spec = handleError(
+        [&]() -> Result<std::optional<JobSpec>> {
+            BOOST_LEAF_AUTO(parsed, platform::readJob(request.body));
+            return std::optional(std::move(parsed));
+        },
+        [&](const Error& error) {
+            logger("owner")->info(
+                "request={} event=malformed queue={} reason=\"{}\"", request.job, request.queue, error.message);
+            reply({ 400, platform::errorBody(error.message) });
+            return std::optional<JobSpec>();
+        });
+    if (!spec)
+        return;
+    if (storeStalled(BootClock::now())) {
+        ++context_.counters.jobsRefused;
+        logger("owner")->info("request={} event=refused queue={} reason=store_stalled stalled_ms={}", request.job,
+            request.queue, std::chrono::duration_cast<Milliseconds>(writer_.stalled(BootClock::now())).count());
+        reply(refusal(503, "not run: the store does not answer", 1));
+        return;
+    }
+    submissions_.push_back({ std::move(request.queue), std::move(request.job), std::move(*spec), std::move(reply) });
+    pump();
+}
+
+void OwnedPartition::refuseSubmissions()
+{
+    auto submissions = std::move(submissions_);
+    submissions_.clear();
+    for (auto& submission : submissions) {
+        ++context_.counters.jobsRefused;
+        logger("owner")->info("request={} event=refused queue={} reason=not_stored", submission.job, submission.queue);
+        submission.reply(refusal(503, "not run: the store does not answer", 1));
+    }
+}
+
+void OwnedPartition::takeSubmissions()
+{
+    auto submissions = std::move(submissions_);
+    submissions_.clear();
+    for (auto& submission : submissions) {
+        if (!knows(submission.job)) {
+            auto queue = context_.configuration->queues.find(submission.queue);
+            if (queue == context_.configuration->queues.end()) {
+                submission.reply({ 404, platform::errorBody("no such queue") });
+                continue;
+            }
+            Job job(submission.job, submission.queue, queue->second.service, std::move(submission.spec), wallNow(),
+                queue->second.maximumAttempts);
+            logger("owner")->info("request={} event=accepted queue={} steps={} chain_ms={} work_core_ms={:.0f}",
+                job.id(), job.queue(), job.spec().steps.size(), job.longestChain().count(), job.remainingWork());
+            ++context_.counters.jobsAccepted;
+            service(job.service()).scheduler.add(std::move(job));
+        }
+        waiting_.push_back([reply = std::move(submission.reply)] { reply({ 200 }); });
+    }
+}
+
+void OwnedPartition::query(const OwnerRequest& request, Reply reply)
+{
+    for (const auto& [name, entry] : services_) {
+        bool begun = false;
+        auto status = entry->scheduler.statusOf(request.job, &begun);
+        if (!status)
+            continue;
+        if (*status == JobStatus::Active)
+            reply({ 200, platform::stateBody(*status, begun) });
+        else // shown only once it is stored
+            afterStored([reply = std::move(reply), status = *status, begun] {
+                reply({ 200, platform::stateBody(status, begun) });
+            });
+        return;
+    }
+    for (const auto& submission : submissions_)
+        if (submission.job == request.job) {
+            reply({ 200, platform::stateBody(JobStatus::Active, false) });
+            return;
+        }
+    reply({ 410 });
+}
+
+void OwnedPartition::cancel(const OwnerRequest& request, Reply reply)
+{
+    takeSubmissions(); // the job may be among them
+    for (auto& [name, entry] : services_)
+        if (entry->scheduler.cancel(request.job, currentTime())) {
+            logger("owner")->info("request={} event=cancelled queue={}", request.job, request.queue);
+            afterStored([reply = std::move(reply)] { reply({ 200 }); });
+            pump();
+            return;
+        }
+    reply({ 410 });
+}
+
+// Calls the function when all that the state holds now is stored.
+void OwnedPartition::afterStored(std::function<void()> function)
+{
+    waiting_.push_back(std::move(function));
+    pump();
+}
+
+void OwnedPartition::pump()
+{
+    if (!active_ || pumping_)
+        return;
+    if (writer_.busy()) {
+        pumpWanted_ = true;
+        return;
+    }
+    pumping_ = true;
+    pumpWanted_ = false;
+    takeSubmissions();
+    auto now = currentTime();
+    std::vector<std::pair<Service*, std::vector<StartOrder>>> starts;
+    std::vector<std::pair<Service*, std::map<std::string, uint64_t>>> noted;
+    std::vector<StateRecord> records;
+    for (auto& [name, entry] : services_) {
+        auto orders = entry->scheduler.plan(now);
+        auto changed = entry->scheduler.collectRecords(now);
+        std::move(changed.begin(), changed.end(), std::back_inserter(records));
+        starts.emplace_back(entry.get(), std::move(orders));
+        noted.emplace_back(entry.get(), entry->links.notedEnds());
+    }
+    auto stored = [this, starts = std::move(starts), noted = std::move(noted), waiting = std::move(waiting_)] {
+        for (const auto& [entry, orders] : starts)
+            for (const auto& order : orders)
+                entry->links.send(order);
+        for (const auto& [entry, numbers] : noted)
+            entry->links.setDurable(numbers);
+        for (const auto& call : waiting)
+            call();
+        if (pumpWanted_)
+            pump();
+    };
+    waiting_.clear();
+    if (records.empty()) {
+        stored();
+        pumping_ = false;
+        return;
+    }
+    pumping_ = false;
+    writer_.append(records, std::move(stored));
+    for (auto& [name, entry] : services_)
+        for (const auto& order : entry->scheduler.stopsDue(now))
+            entry->links.send(order);
+}
+
+void OwnedPartition::tick()
+{
+    auto now = currentTime();
+    for (auto& [name, entry] : services_) {
+        entry->scheduler.expireLeases(now);
+        for (const auto& order : entry->scheduler.stopsDue(now))
+            entry->links.send(order);
+        for (const auto& order : entry->scheduler.pace(now))
+            entry->links.send(order);
+        entry->links.sync();
+    }
+    if (storeStalled(now.steady))
+        refuseSubmissions();
+    pump();
+    timer_.expires_after(tickInterval);
+    timer_.async_wait([this, alive = alive_](std::error_code error) {
+        if (*alive && !error)
+            tick();
+    });
+}
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "../Http/HttpServer.h"
+#include "PartitionWriter.h"
+#include "WorkerLinks.h"
+
+#include <deque>
+
+namespace shallotdrift::internal {
+
+// A request about a job or a queue, as it reaches the owner of the queue's service.
+struct OwnerRequest {
+    enum class Type : uint8_t { Submit, Query, Cancel, Count };
+    Type type = Type::Query;
+    std::string queue;
+    std::string job; // empty for Count
+    std::string body;
+};
+
+// The state and the decisions of the services of one partition, while this entry instance owns it. A change is answered
+// or ordered once its record is stored.
+class OwnedPartition : public std::enable_shared_from_this<OwnedPartition> {
+public:
+    using Reply = HttpServer::Reply;
+
+    OwnedPartition(NodeContext&, uint32_t number, uint64_t token, std::function<void()> onRefused);
+    ~OwnedPartition();
+
+    void start();
+    // Gives up the ownership: nothing is written or ordered from now on.
+    void stop();
+    bool active() const { return active_; }
+    uint64_t token() const { return token_; }
+    Instant startedAt() const { return startedAt_; }
+
+    // Answers 421 while the state is not loaded.
+    void handle(OwnerRequest&&, Reply);
+    void onConfiguration();
+    void onRegistry();
+
+    struct Service {
+        Service(NodeContext&, const std::string& name, const SchedulerOptions&, uint64_t token, WorkerLinks::Events);
+        ServiceScheduler scheduler;
+        WorkerLinks links;
+    };
+    std::map<std::string, std::unique_ptr<Service>>& services() { return services_; }
+    void pump();
+
+private:
+    struct Submission {
+        std::string queue;
+        std::string job;
+        JobSpec spec;
+        Reply reply;
+    };
+
+    void readPage(std::string after);
+    void finishLoad();
+    Service& service(const std::string& name);
+    void submit(OwnerRequest&&, Reply);
+    void query(const OwnerRequest&, Reply);
+    void cancel(const OwnerRequest&, Reply);
+    void takeSubmissions();
+    void afterStored(std::function<void()>);
+    bool storeStalled(Instant now) const;
+    void refuseSubmissions();
+    void later();
+    void tick();
+    void refused(const char* by);
+    bool knows(const std::string& job) const;
+
+    NodeContext& context_;
+    uint32_t number_;
+    uint64_t token_;
+    std::function<void()> onRefused_;
+    PartitionWriter writer_;
+    asio::steady_timer timer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    Instant startedAt_ = BootClock::now();
+    bool active_ = false;
+    bool pumpWanted_ = false;
+    bool pumping_ = false;
+    std::map<std::string, std::pair<std::string, std::string>> loaded_; // job -> specification, state
+    std::map<std::string, std::unique_ptr<Service>> services_;
+    std::deque<Submission> submissions_;
+    std::vector<std::function<void()>> waiting_; // answers for changes that are not in an append yet
+};
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Node/PartitionWriter.cpp
@@ -0,0 +1,89 @@
+#include "PartitionWriter.h"
+
+#include "../Base/Logging.h"
+
+namespace shallotdrift::internal {
+
+static constexpr char producerName[] = "owner";
+// An append takes 5 ms; a later answer is asked for again on another connection.
+static constexpr Milliseconds appendTime { 700 };
+static constexpr Milliseconds retryTime { 120 };
+
+PartitionWriter::PartitionWriter(
+    NodeContext& context, platform::Partition partition, uint64_t epoch, std::function<void()> onFenced)
+    : context_(context)
+    , partition_(std::move(partition))
+    , producer_ { producerName, epoch, 0 }
+    , onFenced_(std::move(onFenced))
+    , timer_(context.io)
+{
+}
+
+void PartitionWriter::fence(std::function<void()> done) { begin({}, std::move(done)); }
+
+void PartitionWriter::append(const std::vector<StateRecord>& records, std::function<void()> done)
+{
+    std::string bytes;
+    for (const auto& record : records)
+        bytes += platform::encodeKeyed(record.key, record.value);
+    begin(std::move(bytes), std::move(done));
+}
+
+void PartitionWriter::begin(std::string bytes, std::function<void()> done)
+{
+    bytes_ = std::move(bytes);
+    done_ = std::move(done);
+    begunAt_ = BootClock::now();
+    busy_ = true;
+    send();
+}
+
+void PartitionWriter::send()
+{
+    context_.store.call(platform::appendCall(partition_, producer_, bytes_), appendTime,
+        [this, alive = alive_](std::optional<HttpMessage> message) {
+            if (!*alive)
+                return;
+            if (message)
+                onAnswer(platform::readAppend(*message));
+            else
+                retry(Milliseconds { 0 });
+        });
+}
+
+void PartitionWriter::retry(Milliseconds time)
+{
+    timer_.expires_after(time);
+    timer_.async_wait([this, alive = alive_](std::error_code error) {
+        if (*alive && !error)
+            send();
+    });
+}
+
+void PartitionWriter::onAnswer(const platform::AppendAnswer& answer)
+{
+    switch (answer.status) {
+    case platform::StoreStatus::Ok: {
+        busy_ = false;
+        ++producer_.sequence;
+        bytes_.clear();
+        auto done = std::move(done_);
+        done();
+        return;
+    }
+    case platform::StoreStatus::WrongSequence:
+        // The epoch is this writer's own, so the store only says which number it counts next.
+        logger("store")->warn("event=sequence partition={} sent={} expected={}", partition_.number, producer_.sequence,
+            answer.expectedSequence);
+        producer_.sequence = answer.expectedSequence;
+        retry(Milliseconds { 0 });
+        return;
+    case platform::StoreStatus::Fenced:
+        onFenced_();
+        return;
+    default:
+        retry(retryTime);
+    }
+}
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Node/StoreLink.cpp
@@ -0,0 +1,33 @@
+#include "StoreLink.h"
+
+#include "../Base/Logging.h"
+
+namespace shallotdrift::internal {
+
+void StoreLink::call(HttpRequest request, Milliseconds timeout, Answer answer)
+{
+    ++calls_;
+    auto path = request.target.substr(0, request.target.find('?'));
+    client_.send(address_, std::move(request), timeout,
+        [this, path = std::move(path), answer = std::move(answer)](HttpOutcome&& outcome) {
+            auto now = BootClock::now();
+            bool served = outcome.answered && outcome.answer.status != 503 && outcome.answer.status != 429;
+            if (served) {
+                if (!reachable_)
+                    logger("store")->info("dependency=store event=regained silent_ms={}",
+                        std::chrono::duration_cast<Milliseconds>(now - answeredAt_).count());
+                reachable_ = true;
+                answeredAt_ = now;
+            } else if (reachable_) {
+                reachable_ = false;
+                logger("store")->warn("dependency=store event=lost call={} status={}", path,
+                    outcome.answered ? outcome.answer.status : 0);
+            }
+            if (outcome.answered)
+                answer(std::move(outcome.answer));
+            else
+                answer(std::nullopt);
+        });
+}
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Node/WorkerLinks.cpp
@@ -0,0 +1,213 @@
+#include "WorkerLinks.h"
+
+#include "../Base/Logging.h"
+
+namespace shallotdrift::internal {
+
+static constexpr Milliseconds holdWait { 1000 };
+// Tails of serving tasks are reported by the half second; they are only of use beside filling tasks.
+static constexpr Milliseconds sharedHoldWait { 500 };
+static constexpr Milliseconds answerTime { 600 };
+static constexpr Milliseconds orderTime { 700 };
+static constexpr Milliseconds retryTime { 150 };
+
+WorkerLinks::WorkerLinks(NodeContext& context, ServiceScheduler& scheduler, uint64_t token, Events events)
+    : context_(context)
+    , scheduler_(scheduler)
+    , token_(token)
+    , events_(std::move(events))
+{
+}
+
+void WorkerLinks::sync()
+{
+    for (auto item = links_.begin(); item != links_.end();)
+        item = scheduler_.workers().count(item->first) == 0 ? links_.erase(item) : std::next(item);
+    for (auto& [id, worker] : scheduler_.workers()) {
+        if (worker.info.address.empty())
+            continue; // known from a stored run only
+        auto& link = links_[id];
+        if (!link) {
+            link = std::make_shared<Link>();
+            link->worker = id;
+            link->timer = std::make_unique<asio::steady_timer>(context_.io);
+        }
+        link->address = worker.info.address;
+        if (!link->calling)
+            hold(link);
+    }
+}
+
+std::map<std::string, uint64_t> WorkerLinks::notedEnds() const
+{
+    std::map<std::string, uint64_t> noted;
+    for (const auto& [id, worker] : scheduler_.workers())
+        noted[id] = worker.noted;
+    return noted;
+}
+
+void WorkerLinks::setDurable(const std::map<std::string, uint64_t>& noted)
+{
+    for (const auto& [id, number] : noted) {
+        auto found = links_.find(id);
+        if (found == links_.end() || found->second->durable == number)
+            continue;
+        found->second->durable = number;
+        if (!found->second->calling)
+            hold(found->second);
+    }
+}
+
+Milliseconds WorkerLinks::leaseEnd(Worker& worker) { return worker.lease.endToAskFor(BootClock::now()); }
+
+void WorkerLinks::holdLater(const std::shared_ptr<Link>& link, Milliseconds time)
+{
+    link->calling = true;
+    link->timer->expires_after(time);
+    link->timer->async_wait([this, alive = alive_, link](std::error_code error) {
+        if (!*alive || error)
+            return;
+        link->calling = false;
+        hold(link);
+    });
+}
+
+void WorkerLinks::hold(const std::shared_ptr<Link>& link)
+{
+    auto found = scheduler_.workers().find(link->worker);
+    if (link->calling || found == scheduler_.workers().end())
+        return;
+    auto& worker = found->second;
+    if (worker.noted != link->durable)
+        return; // setDurable() goes on when the ends are stored
+    platform::HoldRequest request { link->worker, token_, link->durable, std::nullopt, Milliseconds { 0 } };
+    if (worker.lease.hasClock() && events_.mayExtendLeases())
+        request.leaseEnd = leaseEnd(worker);
+    if (worker.reported && !link->failing) {
+        request.wait = holdWait;
+        for (const auto& [id, run] : worker.runs)
+            if (run.fills || run.tailTarget.count() > 0)
+                request.wait = sharedHoldWait;
+    }
+    link->calling = true;
+    ++context_.counters.holdsSent;
+    auto askedAt = BootClock::now();
+    context_.workers.send(link->address, platform::holdCall(request), request.wait + answerTime,
+        [this, alive = alive_, link, askedAt](HttpOutcome&& outcome) {
+            if (!*alive)
+                return;
+            link->calling = false;
+            onHold(link, std::move(outcome), askedAt);
+        });
+}
+
+void WorkerLinks::onHold(const std::shared_ptr<Link>& link, HttpOutcome&& outcome, Instant askedAt)
+{
+    auto answer = outcome.answered ? platform::readHold(outcome.answer) : platform::HoldAnswer {};
+    switch (answer.status) {
+    case platform::HoldStatus::Ok: {
+        if (link->failing)
+            logger("workers")->info("dependency={} event=regained service={}", link->worker, scheduler_.service());
+        link->failing = false;
+        context_.counters.runsEnded += answer.report.ended.size();
+        scheduler_.onReport(link->worker, answer.report, askedAt, currentTime());
+        auto found = scheduler_.workers().find(link->worker);
+        if (found != scheduler_.workers().end() && found->second.noted < link->durable)
+            link->durable = 0; // the same id after a restart counts from 1 again
+        events_.changed();
+        if (*alive_)
+            hold(link);
+        return;
+    }
+    case platform::HoldStatus::OtherBoot:
+        loseWorker(link->worker);
+        holdLater(link, holdWait);
+        return;
+    case platform::HoldStatus::Fenced:
+        events_.fenced();
+        return;
+    case platform::HoldStatus::Failed:
+        ++context_.counters.holdsFailed;
+        if (!link->failing)
+            logger("workers")->warn("dependency={} event=lost service={} status={}", link->worker, scheduler_.service(),
+                outcome.answered ? outcome.answer.status : 0);
+        link->failing = true;
+        holdLater(link, retryTime);
+        return;
+    }
+}
+
+void WorkerLinks::loseWorker(const std::string& worker)
+{
+    auto found = scheduler_.workers().find(worker);
+    if (found == scheduler_.workers().end())
+        return;
+    logger("workers")->info(
+        "dependency={} event=gone service={} runs={}", worker, scheduler_.service(), found->second.runs.size());
+    scheduler_.loseRuns(worker, currentTime());
+    scheduler_.unlistWorker(worker);
+    events_.changed();
+}
+
+void WorkerLinks::send(const StartOrder& order)
+{
+    auto found = scheduler_.workers().find(order.worker);
+    if (found == scheduler_.workers().end() || !scheduler_.beginStart(order, currentTime()))
+        return;
+    ++context_.counters.startsSent;
+    context_.workers.send(found->second.info.address, platform::startCall(order, leaseEnd(found->second), token_),
+        orderTime, [this, alive = alive_, order](HttpOutcome&& outcome) {
+            if (!*alive)
+                return;
+            auto now = currentTime();
+            if (!outcome.answered) {
+                ++context_.counters.startsUnanswered;
+                scheduler_.onStartUnanswered(order, now);
+                return;
+            }
+            auto refusal = platform::readStart(outcome.answer);
+            if (refusal != StartRefusal::None) {
+                ++context_.counters.startsRefused;
+                logger("workers")->info(
+                    "request={} event=start_refused step={} index={} run={} worker={} status={} reason={}",
+                    order.task.job, order.task.step, order.task.index, order.run, order.worker, outcome.answer.status,
+                    static_cast<int>(refusal));
+            }
+            if (refusal == StartRefusal::Fenced)
+                events_.fenced();
+            else if (refusal == StartRefusal::OtherBoot)
+                loseWorker(order.worker);
+            else {
+                scheduler_.onStartAnswer(order, refusal, now);
+                if (refusal != StartRefusal::None)
+                    events_.changed();
+            }
+        });
+}
+
+void WorkerLinks::send(const StopOrder& order)
+{
+    auto found = scheduler_.workers().find(order.worker);
+    if (found == scheduler_.workers().end() || found->second.info.address.empty())
+        return;
+    context_.workers.send(found->second.info.address, platform::stopCall(order, token_), orderTime,
+        [this, alive = alive_, order](HttpOutcome&& outcome) {
+            if (!*alive || !outcome.answered)
+                return; // repeated until the run has ended
+            if (platform::isOtherBoot(outcome.answer))
+                loseWorker(order.worker);
+            else if (outcome.answer.status == 200)
+                scheduler_.onStopAnswer(order, currentTime());
+        });
+}
+
+void WorkerLinks::send(const PaceOrder& order)
+{
+    auto found = scheduler_.workers().find(order.worker);
+    if (found == scheduler_.workers().end())
+        return;
+    context_.workers.send(found->second.info.address, platform::paceCall(order, token_), orderTime,
+        [](HttpOutcome&&) {}); // the next report shows whether it took effect
+}
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -0,0 +1,99 @@
+#include "NodeSettings.h"
+
+#include "EntrySettings.h"
+#include "KeyRule.h"
+
+#include <fmt/format.h>
+
+namespace shallotdrift {
+
+using internal::IniText;
+using internal::Mistakes;
+using internal::Presence;
+using internal::SectionRules;
+
+static const std::vector<SectionRules<NodeSettings>>& nodeSections()
+{
+    using S = NodeSettings;
+    using F = internal::ValueForm;
+    static constexpr double dayMilliseconds = 24.0 * 3600 * 1000;
+    static constexpr auto required = Presence::Required;
+    static constexpr auto optional = Presence::Optional;
+    static const std::vector<SectionRules<S>> sections {
+        { "node",
+            {
+                { "name", &S::name, F::name(), required, "name of this entry instance, unique in the fleet" },
+                { "zone", &S::zone, F::name(), required, "availability zone of this entry instance" },
+                { "ip", &S::ip, F::text(), required, "IP address at which the other entry instances reach it" },
+                { "caller_address", &S::callerAddress, F::address(), required, "listener for callers" },
+                { "ready_address", &S::readyAddress, F::address(), required, "listener for checks of readiness" },
+                { "first_internal_port", &S::firstInternalPort, F::whole(1, 65534), required,
+                    "port of the listener for the other entry instances; the next one serves metrics" },
+                { "log_level", &S::logLevel, F::choice({ "trace", "debug", "info", "warning", "error" }), optional,
+                    "least severe log lines that are written" },
+            },
+            required },
+        { "store",
+            {
+                { "address", &S::storeAddress, F::address(), required, "the platform's store" },
+                { "partitions", &S::storePartitions, F::whole(1, 10000), optional, "partitions of a topic" },
+                { "membership_ms", &S::membershipTime, F::whole(1000, 60000, "ms"), optional,
+                    "an entry that is silent for so long loses its partitions to others" },
+            },
+            required },
+        { "instances",
+            {
+                { "address", &S::instancesAddress, F::address(), optional, "the platform's interface to instances" },
+                { "move_ms", &S::instanceMoveTime, F::whole(0, 600000, "ms"), optional,
+                    "time from the order to move an instance until its new worker joins the pool" },
+                { "maintenance_ms", &S::maintenanceTime, F::whole(0, dayMilliseconds, "ms"), optional,
+                    "time from the order to maintain an instance until its new worker joins the pool" },
+            } },
+        { "advice",
+            { { "address", &S::adviceAddress, F::address(), optional,
+                "the service that knows which workers a policy allows" } } },
+        { "bounds",
+            {
+                { "longest_lease_ms", &S::longestLease, F::whole(1000, 600000, "ms"), optional,
+                    "longest lease that a worker grants" },
+                { "status_kept_ms", &S::statusKept, F::whole(1000, dayMilliseconds, "ms"), optional,
+                    "time for which the state of an ended job can be asked for" },
+                { "stop_grace_ms", &S::stopGrace, F::whole(0, 600000, "ms"), optional,
+                    "time from the stop signal until the process is killed" },
+            } },
+    };
+    return sections;
+}
+
+Result<NodeSettings> parseNodeSettings(std::string_view ini, std::string_view source)
+{
+    NodeSettings settings;
+    Mistakes mistakes(source);
+    auto text = IniText::read(ini, mistakes);
+    if (!text.readable())
+        return boost::leaf::new_error(mistakes.error(ResultCode::InvalidSettings));
+    const auto& tables = nodeSections();
+    for (const auto& section : text.sections()) {
+        auto table = std::find_if(
+            tables.begin(), tables.end(), [&](const auto& candidate) { return candidate.section == section.name; });
+        if (table != tables.end())
+            internal::readSection(section, table->keys, settings, mistakes);
+        else
+            mistakes.add(
+                section, "unknown section; known sections are [node], [store], [instances], [advice] and [bounds]");
+    }
+    for (const auto& table : tables)
+        if (table.presence == Presence::Required && !text.find(table.section))
+            mistakes.add(text.lineCount(), fmt::format("[{}]", table.section), "the section is missing");
+    if (!mistakes.empty())
+        return boost::leaf::new_error(mistakes.error(ResultCode::InvalidSettings));
+    return settings;
+}
+
+Result<NodeSettings> readNodeSettings(const std::string& path)
+{
+    BOOST_LEAF_AUTO(text, readSettingsFile(path));
+    return parseNodeSettings(text, path);
+}
+
+} // namespace shallotdrift
