Keep the state of an ended job readable without its specification

Cause: the state record of a failed or cancelled job still held rows of tasks; a new owner could not read them without the specification, which is removed at the end. It did not know the job, and took a repeated request for a new one. Change: an ended job without runs is stored without rows. Test: endedJobsSurviveAChangeOfOwner.

--- a/shallotdrift/src/Jobs/Job.cpp
+++ b/shallotdrift/src/Jobs/Job.cpp
@@ -219,9 +219,13 @@
     }
 }
 
-// A row for each task that has ever been started or is done; the others are as in a new job.
+// A row for each task that has ever been started or is done; the others are as in a new job. An ended job without
+// runs has neither rows nor a specification to read them by.
 std::string Job::encodeState() const
 {
+    if (!active() && !hasRuns())
+        return packed(json::array({ stateLayout, static_cast<int>(status_), unixMilliseconds(ended_), begun_, opened_,
+            closed_, json::array(), json::array() }));
     auto tasks = json::array();
     for (const auto& [number, occurrence] : open_)
         for (size_t step = 0; step < occurrence.steps.size(); ++step)
--- /dev/null
+++ b/test/ServiceSchedulerTest.cpp
@@ -0,0 +1,294 @@
+#include "Story.h"
+
+#include "shallotdrift/Jobs.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shallotdrift {
+
+namespace {
+
+    constexpr char serviceName[] = "reports";
+    constexpr char queueName[] = "render";
+
+    StepSpec makeStep(uint32_t count, int64_t milliCores, std::vector<uint32_t> after = {})
+    {
+        StepSpec step;
+        step.count = count;
+        step.each = { milliCores, 1000, 0 };
+        step.estimate = Milliseconds { 800 };
+        step.after = std::move(after);
+        return step;
+    }
+
+    // One service with workers of 16 cores, and a clock that is moved by hand.
+    struct SchedulerBench {
+        SchedulerBench() { reset(); }
+
+        void reset()
+        {
+            scheduler = std::make_unique<ServiceScheduler>(serviceName, SchedulerOptions {}, now.steady);
+            QueueRule queue;
+            queue.name = queueName;
+            queue.service = serviceName;
+            queue.latencyTarget = Milliseconds { 600 };
+            scheduler->setQueues({ { queueName, queue } });
+        }
+
+        void addWorker(const std::string& id)
+        {
+            list(id);
+            report(id);
+        }
+
+        void list(const std::string& id, const std::string& rack = "r1")
+        {
+            WorkerInfo info;
+            info.id = id;
+            info.address = "10.0.0.1:80";
+            info.service = serviceName;
+            info.instance = "m-" + id;
+            info.capacity = { 16000, 64000, 0 };
+            info.labels = { "a", rack };
+            info.rack = rack;
+            scheduler->updateWorker(info, now.steady);
+        }
+
+        void pass(Milliseconds time)
+        {
+            now.steady += time;
+            now.wall += time;
+        }
+
+        // What the worker shows of its runs and of new ends.
+        void report(const std::string& worker, std::vector<RunningRow> running = {}, std::vector<EndedRow> ended = {})
+        {
+            pass(Milliseconds { 1 });
+            WorkerReport lists;
+            lists.clock = std::chrono::duration_cast<Milliseconds>(now.steady.time_since_epoch());
+            lists.running = std::move(running);
+            lists.ended = std::move(ended);
+            scheduler->onReport(worker, lists, now.steady, now);
+        }
+
+        void end(const StartOrder& order, RunEnd how)
+        {
+            report(order.worker, runningOn(order.worker, order.task),
+                { { ++ends[order.worker], order.task, order.run, how, {} } });
+        }
+
+        std::vector<RunningRow> runningOn(const std::string& worker, const TaskId& except) const
+        {
+            std::vector<RunningRow> rows;
+            for (const auto& [id, run] : scheduler->workers().at(worker).runs)
+                if (id < except || except < id)
+                    rows.push_back({ id, run.run, {}, 50, 0 });
+            return rows;
+        }
+
+        std::vector<StartOrder> plan()
+        {
+            auto orders = scheduler->plan(now);
+            for (const auto& record : scheduler->collectRecords(now))
+                store[record.key] = record.value;
+            for (const auto& order : orders) {
+                CPPUNIT_ASSERT(scheduler->beginStart(order, now));
+                scheduler->onStartAnswer(order, StartRefusal::None, now);
+            }
+            return orders;
+        }
+
+        void add(const std::string& id, std::vector<StepSpec> steps, uint32_t attempts = 2)
+        {
+            JobSpec spec;
+            spec.payload = "payload of " + id;
+            spec.steps = std::move(steps);
+            scheduler->add(Job(id, queueName, serviceName, std::move(spec), now.wall, attempts));
+        }
+
+        // A new owner reads what the earlier one has stored.
+        void takeOver()
+        {
+            reset();
+            for (const auto& [key, value] : store) {
+                if (value.empty() || ServiceScheduler::isStateKey(key))
+                    continue;
+                auto job = Job::decodeSpec(key, value);
+                CPPUNIT_ASSERT(job);
+                for (const auto& [stateKey, state] : store)
+                    if (ServiceScheduler::isStateKey(stateKey) && ServiceScheduler::jobOfKey(stateKey) == key)
+                        CPPUNIT_ASSERT(job->decodeState(state));
+                scheduler->restore(std::move(*job));
+            }
+            for (const auto& [key, value] : store) {
+                auto id = ServiceScheduler::jobOfKey(key);
+                if (value.empty() || !ServiceScheduler::isStateKey(key) || scheduler->find(id))
+                    continue;
+                Job ended(id, {}, {}, {}, now.wall, 1);
+                CPPUNIT_ASSERT(ended.decodeState(value));
+                scheduler->restoreEnded(id, ended.status(), ended.begun(), ended.ended());
+            }
+            scheduler->finishRestore(now);
+        }
+
+        Now now { Instant { Milliseconds { 1000000 } }, wallTimeFromUnix(Milliseconds { 1796384956000 }) };
+        std::unique_ptr<ServiceScheduler> scheduler;
+        std::map<std::string, std::string> store;
+        std::map<std::string, uint64_t> ends;
+    };
+
+} // namespace
+
+class ServiceSchedulerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ServiceSchedulerTest);
+    CPPUNIT_TEST(stepsRunInOrder);
+    CPPUNIT_TEST(failedAttemptsEndTheJob);
+    CPPUNIT_TEST(endedJobsSurviveAChangeOfOwner);
+    CPPUNIT_TEST(runsSurviveAChangeOfOwner);
+    CPPUNIT_TEST(lostWorkersAreWaitedOut);
+    CPPUNIT_TEST(unansweredStartsAreStoppedBeforeAnotherRun);
+    CPPUNIT_TEST(cancelledJobsStartNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against starting a task before the steps that it comes after have ended.
+    void stepsRunInOrder()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        bench.add("a", { makeStep(2, 1000), makeStep(1, 1000, { 0 }) });
+        Section section("two tasks come before a third");
+        auto first = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, first.size());
+        bench.end(first[0], RunEnd::Done);
+        CPPUNIT_ASSERT(bench.plan().empty());
+        bench.end(first[1], RunEnd::Done);
+        auto last = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, last.size());
+        CPPUNIT_ASSERT_EQUAL(1U, last[0].task.step);
+        bench.end(last[0], RunEnd::Done);
+        CPPUNIT_ASSERT(bench.scheduler->statusOf("a") == JobStatus::Completed);
+    }
+
+    // Guards against more runs than the queue allows.
+    void failedAttemptsEndTheJob()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        bench.add("a", { makeStep(1, 1000) }, 2);
+        for (uint32_t run = 1; run <= 2; ++run) {
+            auto orders = bench.plan();
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, orders.size());
+            CPPUNIT_ASSERT_EQUAL(run, orders[0].run);
+            bench.end(orders[0], RunEnd::Failed);
+            bench.pass(Milliseconds { 500 });
+        }
+        CPPUNIT_ASSERT(bench.plan().empty());
+        CPPUNIT_ASSERT(bench.scheduler->statusOf("a") == JobStatus::Failed);
+    }
+
+    // Guards against a new owner that does not know an ended job: it took a repeated request for a new job and ran it
+    // again (journal 20261204T1400, trouble-3: TWICE, BUDGET and LOST).
+    void endedJobsSurviveAChangeOfOwner()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        bench.add("a", { makeStep(2, 1000), makeStep(1, 1000, { 0 }) }, 1);
+        auto orders = bench.plan();
+        bench.end(orders[0], RunEnd::Done);
+        bench.end(orders[1], RunEnd::Failed);
+        bench.plan();
+        bench.takeOver();
+        CPPUNIT_ASSERT(bench.scheduler->statusOf("a") == JobStatus::Failed);
+    }
+
+    // Guards against a second run of a task that the earlier owner has started, and against forgetting its ends.
+    void runsSurviveAChangeOfOwner()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        bench.add("a", { makeStep(2, 1000) });
+        auto orders = bench.plan();
+        bench.takeOver();
+        bench.list("w1");
+        {
+            Section section("the new owner waits for the worker's lists");
+            CPPUNIT_ASSERT(bench.plan().empty());
+        }
+        Section section("a run that is neither listed as running nor as ended is started again with a higher number");
+        bench.report("w1", { { orders[0].task, 1, {}, 10, 0 } });
+        auto again = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, again.size());
+        CPPUNIT_ASSERT_EQUAL(orders[1].task.index, again[0].task.index);
+        CPPUNIT_ASSERT_EQUAL(2U, again[0].run);
+    }
+
+    // Guards against two runs at once while a worker that cannot be reached may still be at work.
+    void lostWorkersAreWaitedOut()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        bench.add("a", { makeStep(1, 1000) });
+        auto orders = bench.plan();
+        bench.scheduler->workers().at("w1").lease.endToAskFor(bench.now.steady);
+        bench.scheduler->unlistWorker("w1");
+        bench.addWorker("w2");
+        bench.pass(Milliseconds { 5500 });
+        bench.scheduler->expireLeases(bench.now);
+        bench.report("w2");
+        CPPUNIT_ASSERT(bench.plan().empty());
+        bench.pass(Milliseconds { 6000 });
+        bench.scheduler->expireLeases(bench.now);
+        bench.report("w2");
+        auto again = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, again.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("w2"), again[0].worker);
+    }
+
+    // Guards against a start that is carried out late beside another run of its task.
+    void unansweredStartsAreStoppedBeforeAnotherRun()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        bench.add("a", { makeStep(1, 1000) });
+        auto orders = bench.scheduler->plan(bench.now);
+        bench.scheduler->collectRecords(bench.now);
+        CPPUNIT_ASSERT(bench.scheduler->beginStart(orders[0], bench.now));
+        bench.scheduler->onStartUnanswered(orders[0], bench.now);
+        bench.pass(Milliseconds { 500 });
+        auto repeated = bench.scheduler->plan(bench.now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, repeated.size());
+        CPPUNIT_ASSERT(repeated[0].repeated);
+        CPPUNIT_ASSERT_EQUAL(orders[0].run, repeated[0].run);
+        CPPUNIT_ASSERT(bench.scheduler->beginStart(repeated[0], bench.now));
+        bench.scheduler->onStartAnswer(repeated[0], StartRefusal::Unhealthy, bench.now);
+        CPPUNIT_ASSERT(bench.scheduler->plan(bench.now).empty());
+        auto stops = bench.scheduler->stopsDue(bench.now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        bench.scheduler->onStopAnswer(stops[0], bench.now);
+        bench.report("w1");
+        bench.pass(Milliseconds { 4000 });
+        bench.report("w1");
+        auto again = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, again.size());
+        CPPUNIT_ASSERT_EQUAL(2U, again[0].run);
+    }
+
+    // Guards against a start whose job was cancelled while its record was being stored.
+    void cancelledJobsStartNothing()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        bench.add("a", { makeStep(1, 1000) });
+        auto orders = bench.scheduler->plan(bench.now);
+        bench.scheduler->cancel("a", bench.now);
+        CPPUNIT_ASSERT(!bench.scheduler->beginStart(orders[0], bench.now));
+        CPPUNIT_ASSERT(bench.scheduler->workers().at("w1").runs.empty());
+        CPPUNIT_ASSERT(bench.scheduler->statusOf("a") == JobStatus::Cancelled);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServiceSchedulerTest);
+
+} // namespace shallotdrift
