Move and maintain instances through the platform's interface

Change: Instances decides on pools and waves from the owners' reports; the owner of partition 0 orders. An instance is cordoned first and ordered away only when it is empty. Leases of silent workers are no longer extended, and a worker whose instance has started again is lost at once.

--- a/shallotdrift/src/Http/HttpServer.h
+++ b/shallotdrift/src/Http/HttpServer.h
@@ -13,7 +13,7 @@
 
 struct HttpServerOptions {
     std::string listenAddress; // IP:port
-    HttpLimits limits;
+    HttpLimits limits {};
     size_t maximumConnections = 2000;
     Milliseconds idleTimeout { 15000 };
     Milliseconds readTimeout { 3000 }; // for one whole request
--- /dev/null
+++ b/shallotdrift/src/Instances/InstancePlanner.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "../Base/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shallotdrift {
+
+// An instance as the platform lists it.
+struct FleetInstance {
+    enum class State : uint8_t { Up, Moving, Maintenance, Down };
+    std::string id;
+    std::string pool;
+    State state = State::Down;
+    std::string kind;
+    std::string rack;
+    double cores = 0;
+};
+
+// What the owner of a service reports of its pool.
+struct PoolReport {
+    struct WorkerLoad {
+        std::string instance;
+        uint32_t runs = 0;
+        uint32_t lastingRuns = 0;
+        bool cordoned = false;
+        bool draining = false;
+    };
+    std::string service;
+    double heldCores = 0; // by runs
+    double lastingCores = 0; // of lasting tasks, held or waiting
+    double waitingCores = 0; // asked for by tasks whose turn has come
+    double requiredCores = 0; // rate of work that ends the accepted jobs in time
+    uint32_t minimumWorkers = 0; // that the spread of lasting tasks needs
+    std::vector<WorkerLoad> workers;
+    Instant at {};
+};
+
+struct MaintenanceWave {
+    uint64_t number = 0;
+    std::vector<std::string> instances;
+    uint32_t maximumAtOnce = 1;
+    Instant deadline {};
+};
+
+struct PoolRule {
+    std::string name;
+    bool standby = false; // its instances are switched off and cost nothing
+};
+
+struct PlannerOptions {
+    double fillLevel = 0.92; // share of a pool's cores that tasks of uneven sizes can use
+    double reserveCores = 8; // of each pool, for the first jobs of a rise in demand
+    double margin = 1.1; // over the required rate of work
+    Milliseconds trendTime { 1000 }; // over which the rise of the required rate is measured
+    double trendAhead = 1.5; // of that time, until an instance that is ordered now is at work
+    Milliseconds wantMemory { 1200 }; // a pool's size follows the largest need of this time
+    Milliseconds surplusPause { 700 }; // an instance is idle for so long before it is switched off
+    Milliseconds reportLife { 900 }; // an older report decides nothing
+    Milliseconds orderLife { 2500 }; // after it, an order without effect in the list is forgotten
+    double cordonedShare = 0.34; // of a pool, for maintenance, while time is left
+    size_t ordersAtOnce = 24;
+};
+
+struct InstanceOrder {
+    enum class Type : uint8_t { Move, Maintain };
+    Type type = Type::Move;
+    std::string instance;
+    std::string pool; // Move: the new pool
+    uint64_t wave = 0; // Maintain
+};
+
+// Decides on the pools of instances and on maintenance. An instance is cordoned first and ordered away only when its
+// owner reports it empty, so no order ends a run.
+class InstancePlanner {
+public:
+    explicit InstancePlanner(const PlannerOptions&);
+
+    void setPools(std::map<std::string, PoolRule> pools) { pools_ = std::move(pools); }
+    void setInstances(std::vector<FleetInstance>);
+    void setReport(PoolReport);
+    // A wave that is known already is left as it is.
+    void addWave(const MaintenanceWave&);
+    // Instances of the wave that are done, as an earlier manager has stored them.
+    void restoreDone(uint64_t wave, const std::set<std::string>& instances);
+
+    // Orders that may be given now; each is reported back by onOrder().
+    std::vector<InstanceOrder> plan(Instant now);
+    enum class Outcome : uint8_t { Ok, Busy, Impossible, Unknown };
+    void onOrder(const InstanceOrder&, Outcome, Instant now);
+
+    // Instances on which nothing new may be placed.
+    std::set<std::string> cordons() const;
+    // Waves whose state has changed since the last call: number and whether it is completed.
+    std::vector<std::pair<uint64_t, bool>> takeWaveChanges();
+    const std::set<std::string>& done(uint64_t wave) const;
+
+    // What the last plan saw of the pools, for tests and the log.
+    struct PoolView {
+        std::string name;
+        size_t size = 0; // instances that are there or on their way
+        size_t want = 0;
+        PoolReport report;
+    };
+    std::vector<PoolView> view() const;
+
+private:
+    struct Intent {
+        InstanceOrder order;
+        Instant since {};
+        std::optional<Instant> orderedAt;
+    };
+    struct Pool {
+        PoolReport report;
+        std::deque<std::pair<Instant, double>> required; // recent rates
+        std::vector<std::pair<Instant, size_t>> needs; // recent ones, for the memory of the need
+        size_t want = 0;
+        size_t size = 0; // instances that are up or on their way, without those that are to leave
+    };
+    struct Wave {
+        MaintenanceWave rule;
+        std::set<std::string> done;
+        bool announced = false;
+        bool completed = false;
+    };
+
+    const PoolReport::WorkerLoad* loadOf(const FleetInstance&) const;
+    bool fresh(const std::string& pool, Instant now) const;
+    bool empty(const FleetInstance&, Instant now) const;
+    double coresPerInstance(const std::string& pool) const;
+    void measure(Instant now);
+    double expectedRate(Pool&, Instant now) const;
+    void forgetOldIntents(Instant now);
+    void planWaves(Instant now);
+    void planGrowth(Instant now);
+    void planShrinking(Instant now);
+    std::string standbyPool(const FleetInstance&) const;
+    bool mayJoin(const FleetInstance&, const std::string& pool) const;
+
+    PlannerOptions options_;
+    std::map<std::string, PoolRule> pools_;
+    std::map<std::string, FleetInstance> instances_;
+    std::map<std::string, Pool> state_; // by pool
+    std::map<std::string, Intent> intents_; // by instance
+    std::map<std::string, Instant> idleSince_;
+    std::map<uint64_t, Wave> waves_;
+    std::set<std::pair<std::string, std::string>> impossible_; // kind, pool
+    std::vector<std::pair<uint64_t, bool>> waveChanges_;
+};
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -10,7 +10,7 @@
 {
     std::vector<Worker*> usable;
     for (auto& [id, worker] : workers_)
-        if (worker.listed && worker.reported && !worker.info.draining && !worker.cordoned
+        if (worker.listed && worker.reported && !worker.silent && !worker.info.draining && !worker.cordoned
             && worker.quarantinedUntil <= now && now - worker.answeredAt < options_.contactTimeout)
             usable.push_back(&worker);
     return usable;
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -115,6 +115,7 @@
     auto bootTime = worker.info.bootTime;
     worker.info = info;
     worker.listed = true;
+    worker.cordoned = cordons_.count(info.instance) != 0;
     if (bootTime != 0)
         worker.info.bootTime = bootTime; // onReport() compares it with what the worker says itself
 }
@@ -126,11 +127,17 @@
         found->second.listed = false;
 }
 
-void ServiceScheduler::setCordon(const std::string& instance, bool cordoned)
+void ServiceScheduler::setCordons(const std::set<std::string>& instances, Instant until)
+{
+    cordons_ = instances;
+    cordonsUntil_ = until;
+    applyCordons();
+}
+
+void ServiceScheduler::applyCordons()
 {
     for (auto& [id, worker] : workers_)
-        if (worker.info.instance == instance)
-            worker.cordoned = cordoned;
+        worker.cordoned = cordons_.count(worker.info.instance) != 0;
 }
 
 void ServiceScheduler::assign(Worker& worker, const TaskId& id, Task& task, const StepSpec& step, uint32_t runNumber)
@@ -166,6 +173,7 @@
     worker.lease.sample(report.clock, now.steady);
     worker.answeredAt = now.steady;
     worker.reported = true;
+    worker.silent = false;
 
     std::set<TaskId> present;
     for (const auto& row : report.running) {
@@ -220,7 +228,7 @@
     if (!task || task->run != row.run || task->worker != worker.info.id)
         return;
     task->state = TaskState::Running;
-    task->atWork = row.percent >= 100;
+    task->atWork = row.percent >= 100 && !run.stopWanted;
     if (!row.checkpoint.empty())
         task->checkpoint = row.checkpoint; // stored with the next change of the job
 }
@@ -385,6 +393,13 @@
     run->confirmedAt = now.steady;
 }
 
+void ServiceScheduler::markSilent(const std::string& workerId)
+{
+    auto found = workers_.find(workerId);
+    if (found != workers_.end())
+        found->second.silent = true;
+}
+
 void ServiceScheduler::loseRuns(const std::string& workerId, const Now& now)
 {
     auto found = workers_.find(workerId);
@@ -399,6 +414,8 @@
 
 void ServiceScheduler::expireLeases(const Now& now)
 {
+    if (!cordons_.empty() && now.steady > cordonsUntil_)
+        setCordons({}, now.steady); // who asked for them is gone
     std::vector<std::string> gone;
     for (auto& [id, worker] : workers_) {
         if (now.steady < worker.lease.lapsesAt())
@@ -546,18 +563,26 @@
     for (const auto& [id, job] : jobs_) {
         if (!job.active())
             continue;
-        demand.backlog += job.remainingWork() / 1000;
-        if (objectiveOf(job) < now.wall && !job.lasting())
-            ++demand.late;
-        for (const auto& [number, occurrence] : job.open())
+        Milliseconds chain { 0 };
+        for (const auto& [number, occurrence] : job.open()) {
+            chain = std::max(chain, job.remainingChain(occurrence));
             for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& spec = job.spec().steps[step];
+                if (spec.lasting && spec.maximumPerWorker > 0)
+                    demand.minimumWorkers = std::max(demand.minimumWorkers,
+                        (spec.count + spec.maximumPerWorker - 1) / spec.maximumPerWorker);
+                double cores = static_cast<double>(spec.each.milliCores) / 1000;
                 if (spec.fillsIdle || occurrence.steps[step].remaining == 0 || !job.stepReady(occurrence, step))
                     continue;
+                if (spec.lasting)
+                    demand.lasting += cores * spec.count;
                 for (const auto& task : occurrence.steps[step].tasks)
                     if (task.state == TaskState::Waiting)
-                        demand.waiting += static_cast<double>(spec.each.milliCores) / 1000;
+                        demand.waiting += cores;
             }
+        }
+        if (auto time = std::max(chain, objectiveOf(job) - now.wall); time.count() > 0)
+            demand.required += job.remainingWork() / static_cast<double>(time.count());
     }
     return demand;
 }
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -97,6 +97,7 @@
     uint64_t noted = 0; // the ends up to this number are part of the state
     bool listed = true; // the registry names it
     bool reported = false; // its lists have been read since this process became the owner
+    bool silent = false; // the last call to it got no answer
     bool cordoned = false; // the instance is to leave the pool or to be maintained
     Instant answeredAt {};
     Instant quarantinedUntil {};
@@ -136,7 +137,9 @@
     // Workers.
     void updateWorker(const WorkerInfo&, Instant now);
     void unlistWorker(const std::string& id);
-    void setCordon(const std::string& instance, bool cordoned);
+    // The instances that nothing new may be placed on, until the time given; it is renewed while they are to be
+    // emptied.
+    void setCordons(const std::set<std::string>& instances, Instant until);
     std::map<std::string, Worker>& workers() { return workers_; }
     const std::map<std::string, Worker>& workers() const { return workers_; }
     // The lists of a worker, asked for at this moment. Runs that should not be there are stopped with the next orders.
@@ -147,6 +150,8 @@
     void onStartAnswer(const StartOrder&, StartRefusal, const Now&);
     void onStartUnanswered(const StartOrder&, const Now&);
     void onStopAnswer(const StopOrder&, const Now&);
+    // A call to the worker got no answer; nothing new is placed there until it has reported again.
+    void markSilent(const std::string& worker);
     // Everything on the worker has ended: its lease has lapsed or another boot has taken its place.
     void loseRuns(const std::string& worker, const Now&);
     // Frees the runs of workers whose leases have lapsed and forgets those that are gone.
@@ -163,12 +168,13 @@
     static std::string jobOfKey(const std::string& key);
     static bool isStateKey(const std::string& key);
 
-    // Processor time in cores that the ready tasks ask for and that runs hold, for the pool planner.
+    // What the service needs, in cores, for the pool planner.
     struct Demand {
-        double held = 0;
-        double waiting = 0; // of tasks whose turn has come
-        double backlog = 0; // core-seconds of all accepted work
-        size_t late = 0; // jobs past their objective
+        double held = 0; // by runs
+        double lasting = 0; // by lasting tasks, held or waiting
+        double waiting = 0; // asked for by tasks whose turn has come
+        double required = 0; // rate at which the accepted work has to be done to end in time
+        uint32_t minimumWorkers = 0; // that the spread of lasting tasks needs
     };
     Demand demand(const Now&) const;
 
@@ -187,6 +193,7 @@
     // The run has ended or never began; the task may be placed again unless that settles it.
     void endRun(
         const std::string& worker, const TaskId&, uint32_t run, RunEnd, const std::string& checkpoint, const Now&);
+    void applyCordons();
     void finishTask(Job&, const TaskId&, const Now&);
     void countFailure(Job&, const TaskId&, Task&, const Now&);
     void stopRuns(Job&);
@@ -208,6 +215,8 @@
     std::unordered_map<std::string, Ended> ended_;
     std::map<WallTime, std::vector<std::string>> expiry_;
     std::map<std::string, Worker> workers_;
+    std::set<std::string> cordons_; // instances
+    Instant cordonsUntil_ {};
     std::vector<StateRecord> pendingRecords_;
 };
 
--- a/shallotdrift/src/Jobs/WorkerLease.h
+++ b/shallotdrift/src/Jobs/WorkerLease.h
@@ -38,9 +38,13 @@
         auto end = clock_ + std::chrono::floor<Milliseconds>(now - sampledAt_) + options_->length;
         // An order without an answer may be carried out, so the lease counts from the sending on.
         lapsesAt_ = std::max(lapsesAt_, sampledAt_ + scaled(end - clock_) + options_->margin);
+        lastEnd_ = std::max(lastEnd_, end);
         return end;
     }
 
+    // The latest end that has been asked for. To be used for a worker that does not answer: its lease must lapse.
+    Milliseconds lastEnd() const { return lastEnd_; }
+
     // After this moment nothing that was started under the lease runs.
     Instant lapsesAt() const { return lapsesAt_; }
 
@@ -53,6 +57,7 @@
 
     const LeaseOptions* options_;
     Milliseconds clock_ { 0 };
+    Milliseconds lastEnd_ { 0 };
     Instant sampledAt_ {};
     bool sampled_ = false;
     Instant lapsesAt_;
--- /dev/null
+++ b/shallotdrift/src/Node/FleetExchange.cpp
@@ -0,0 +1,73 @@
+#include "FleetExchange.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace shallotdrift::internal {
+
+using nlohmann::json;
+
+// Without a renewal for so long the manager is gone, and its cordons with it.
+static constexpr Milliseconds cordonLife { 2000 };
+
+std::string encodeCordons(const std::set<std::string>& instances) { return json(instances).dump(); }
+
+std::string answerCordons(
+    std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned, const Now& now)
+{
+    std::set<std::string> cordons;
+    auto list = json::parse(body, nullptr, false);
+    if (list.is_array())
+        for (const auto& instance : list)
+            if (instance.is_string())
+                cordons.insert(instance.get<std::string>());
+    auto pools = json::array();
+    for (const auto& [number, partition] : owned) {
+        if (!partition->active())
+            continue;
+        for (auto& [name, service] : partition->services()) {
+            auto& scheduler = service->scheduler;
+            scheduler.setCordons(cordons, now.steady + cordonLife);
+            auto demand = scheduler.demand(now);
+            auto workers = json::array();
+            for (const auto& [id, worker] : scheduler.workers()) {
+                if (worker.info.instance.empty())
+                    continue;
+                size_t lasting = std::count_if(
+                    worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return entry.second.lasting; });
+                workers.push_back(json::array({ worker.info.instance, worker.runs.size(), lasting, worker.cordoned,
+                    worker.info.draining || !worker.listed }));
+            }
+            pools.push_back(
+                json::array({ name, demand.held, demand.lasting, demand.waiting, demand.required, demand.minimumWorkers, std::move(workers) }));
+        }
+        partition->pump(); // cordons may ask for evacuations
+    }
+    return pools.dump();
+}
+
+std::vector<PoolReport> decodeReports(std::string_view body, Instant now)
+{
+    std::vector<PoolReport> reports;
+    try {
+        for (const auto& row : json::parse(body)) {
+            PoolReport report;
+            report.at = now;
+            report.service = row.at(0).get<std::string>();
+            report.heldCores = row.at(1).get<double>();
+            report.lastingCores = row.at(2).get<double>();
+            report.waitingCores = row.at(3).get<double>();
+            report.requiredCores = row.at(4).get<double>();
+            report.minimumWorkers = row.at(5).get<uint32_t>();
+            for (const auto& worker : row.at(6))
+                report.workers.push_back({ worker.at(0).get<std::string>(), worker.at(1).get<uint32_t>(),
+                    worker.at(2).get<uint32_t>(), worker.at(3).get<bool>(), worker.at(4).get<bool>() });
+            reports.push_back(std::move(report));
+        }
+    } catch (const json::exception&) {
+        return {}; // a report that cannot be read is as old as a missing one
+    }
+    return reports;
+}
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Node/FleetExchange.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "../Instances/InstancePlanner.h"
+#include "OwnedPartition.h"
+
+namespace shallotdrift::internal {
+
+// What the manager of the instances and the owners of services tell each other: which instances are to be emptied, and
+// what runs in the pools.
+std::string encodeCordons(const std::set<std::string>& instances);
+// Takes the cordons and describes the pools of the partitions that this entry instance owns.
+std::string answerCordons(
+    std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned, const Now&);
+std::vector<PoolReport> decodeReports(std::string_view body, Instant now);
+
+} // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "../Instances/InstancePlanner.h"
+#include "Membership.h"
+#include "PartitionWriter.h"
+
+namespace shallotdrift::internal {
+
+// The one that moves and maintains instances: the owner of the fleet's partition. What must outlast it is the list of
+// instances that a wave has maintained.
+class FleetManager : public std::enable_shared_from_this<FleetManager> {
+public:
+    struct Links {
+        std::function<const std::map<uint64_t, platform::WaveRequest>&()> waves;
+        std::function<std::string(const std::string& cordons)> exchangeHere; // with the services owned by this process
+    };
+
+    FleetManager(NodeContext&, Membership&, uint64_t token, Links, std::function<void()> onRefused);
+    ~FleetManager();
+
+    static constexpr uint32_t partition = 0;
+
+    void start();
+    void stop();
+
+private:
+    void readPage(std::string after);
+    void retryRead(std::string after);
+    void poll(std::string page);
+    void pollLater(Milliseconds);
+    void exchange();
+    void plan();
+    void logPools(Instant now);
+    void order(const InstanceOrder&);
+    void storeDone();
+    void announce();
+    void refused(const char* by);
+    std::shared_ptr<bool> alive() const { return alive_; }
+
+    NodeContext& context_;
+    Membership& membership_;
+    uint64_t token_;
+    Links links_;
+    std::function<void()> onRefused_;
+    PartitionWriter writer_;
+    InstancePlanner planner_;
+    asio::steady_timer startTimer_;
+    asio::steady_timer pollTimer_;
+    asio::steady_timer exchangeTimer_;
+    asio::steady_timer statusTimer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    Instant startedAt_ = BootClock::now();
+    Instant loggedAt_ {};
+    std::vector<FleetInstance> page_;
+    std::set<uint64_t> changedWaves_; // their lists of maintained instances are not stored yet
+    std::vector<std::pair<uint64_t, bool>> statuses_; // not written yet
+    bool statusOnWay_ = false;
+    bool listed_ = false;
+};
+
+} // namespace shallotdrift::internal
--- a/shallotdrift/src/Node/Followers.cpp
+++ b/shallotdrift/src/Node/Followers.cpp
@@ -9,7 +9,7 @@
 static constexpr Milliseconds answerTime { 600 }; // beyond the waiting that was asked for
 static constexpr Milliseconds retryTime { 200 };
 // Workers have to be left within DrainMs (2 s) of their notice.
-static constexpr Milliseconds registryInterval { 400 };
+static constexpr Milliseconds registryInterval { 200 };
 
 ConfigurationFollower::ConfigurationFollower(NodeContext& context, std::function<void()> onConfiguration)
     : context_(context)
--- a/shallotdrift/src/Node/Front.h
+++ b/shallotdrift/src/Node/Front.h
@@ -11,7 +11,9 @@
     using Reply = HttpServer::Reply;
     using FindOwned = std::function<OwnedPartition*(uint32_t partition)>;
 
-    Front(NodeContext&, Membership&, FindOwned);
+    using ExchangeFleet = std::function<std::string(const std::string& cordons)>;
+
+    Front(NodeContext&, Membership&, FindOwned, ExchangeFleet);
 
     // A request of a caller, or of the platform's check of readiness.
     void handle(HttpMessage&&, Reply);
@@ -50,6 +52,7 @@
     NodeContext& context_;
     Membership& membership_;
     FindOwned findOwned_;
+    ExchangeFleet exchangeFleet_;
 };
 
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -18,7 +18,8 @@
 
 uint32_t partitionOf(const std::string& service, uint32_t partitions)
 {
-    return static_cast<uint32_t>(digestOf(service) % partitions);
+    // Partition 0 is that of the instances' manager.
+    return partitions < 2 ? 0 : 1 + static_cast<uint32_t>(digestOf(service) % (partitions - 1));
 }
 
 std::string Membership::topic() { return stateTopic; }
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -1,6 +1,8 @@
 #include "NodeProcess.h"
 
 #include "../Base/Logging.h"
+#include "FleetExchange.h"
+#include "FleetManager.h"
 #include "Followers.h"
 #include "Front.h"
 
@@ -40,7 +42,9 @@
                       [this](uint32_t partition) { drop(partition); } })
             , registry_(context_, [this] { forEachOwned(&OwnedPartition::onRegistry); })
             , configuration_(context_, [this] { onConfiguration(); })
-            , front_(context_, membership_, [this](uint32_t partition) { return findOwned(partition); })
+            , front_(
+                  context_, membership_, [this](uint32_t partition) { return findOwned(partition); },
+                  [this](const std::string& cordons) { return answerCordons(cordons, owned_, currentTime()); })
             , callers_(io_, deadlines_, { settings_.callerAddress },
                   [this](HttpMessage&& request, HttpServer::Reply reply) {
                       front_.handle(std::move(request), std::move(reply));
@@ -74,8 +78,8 @@
             for (int signal : { SIGTERM, SIGINT, SIGHUP })
                 signals_.add(signal);
             waitForSignal();
-            logger("node")->info("event=start name={} zone={} callers={} member={}", settings_.name, settings_.zone,
-                settings_.callerAddress, membership_.member());
+            logger("node")->info("event=start name={} zone={} callers={} member={} instances={}", settings_.name, settings_.zone,
+                settings_.callerAddress, membership_.member(), settings_.instancesAddress);
             return {};
         }
 
@@ -117,6 +121,10 @@
 
         void take(uint32_t partition)
         {
+            if (partition == FleetManager::partition) {
+                takeFleet();
+                return;
+            }
             if (!context_.configuration || context_.stopping || owned_.count(partition) != 0 || !inUse(partition))
                 return;
             auto owned
@@ -129,9 +137,29 @@
             owned->start();
         }
 
+        void takeFleet()
+        {
+            if (!context_.configuration || context_.stopping || fleet_ || settings_.instancesAddress.empty())
+                return;
+            FleetManager::Links links { [this]() -> const auto& { return configuration_.waves(); },
+                [this](const std::string& cordons) { return answerCordons(cordons, owned_, currentTime()); } };
+            fleet_ = std::make_shared<FleetManager>(
+                context_, membership_, granted_.at(FleetManager::partition), std::move(links), [this] {
+                    drop(FleetManager::partition);
+                    membership_.partitionRefused(FleetManager::partition);
+                });
+            fleet_->start();
+        }
+
         void drop(uint32_t partition)
         {
             granted_.erase(partition);
+            if (partition == FleetManager::partition && fleet_) {
+                fleet_->stop();
+                asio::post(io_, [held = std::move(fleet_)] {});
+                fleet_ = nullptr;
+                return;
+            }
             auto found = owned_.find(partition);
             if (found == owned_.end())
                 return;
@@ -185,6 +213,7 @@
             auto owned = owned_;
             for (const auto& [number, partition] : owned)
                 drop(number);
+            drop(FleetManager::partition);
             membership_.leave([] {});
         }
 
@@ -244,6 +273,7 @@
         NodeContext context_;
         std::map<uint32_t, uint64_t> granted_; // partition -> generation at which it was given to this entry instance
         std::map<uint32_t, std::shared_ptr<OwnedPartition>> owned_;
+        std::shared_ptr<FleetManager> fleet_;
         Membership membership_;
         RegistryFollower registry_;
         ConfigurationFollower configuration_;
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -175,6 +175,7 @@
         }
         for (const auto& id : unlisted)
             entry->scheduler.unlistWorker(id);
+        entry->links.loseReplaced(context_.registry);
         for (const auto& [id, info] : context_.registry)
             if (info.service == name)
                 entry->scheduler.updateWorker(info, now);
--- a/shallotdrift/src/Node/WorkerLinks.cpp
+++ b/shallotdrift/src/Node/WorkerLinks.cpp
@@ -38,6 +38,19 @@
     }
 }
 
+void WorkerLinks::loseReplaced(const std::map<std::string, WorkerInfo>& registry)
+{
+    std::vector<std::string> replaced;
+    for (const auto& [id, worker] : scheduler_.workers())
+        if (!worker.info.instance.empty() && (worker.listed || !worker.runs.empty()))
+            for (const auto& [otherId, other] : registry)
+                if (otherId != id && other.instance == worker.info.instance
+                    && other.bootTime > worker.info.bootTime)
+                    replaced.push_back(id);
+    for (const auto& id : replaced)
+        loseWorker(id);
+}
+
 std::map<std::string, uint64_t> WorkerLinks::notedEnds() const
 {
     std::map<std::string, uint64_t> noted;
@@ -58,7 +71,11 @@
     }
 }
 
-Milliseconds WorkerLinks::leaseEnd(Worker& worker) { return worker.lease.endToAskFor(BootClock::now()); }
+Milliseconds WorkerLinks::leaseEnd(Worker& worker)
+{
+    return worker.silent || !events_.mayExtendLeases() ? worker.lease.lastEnd()
+                                                       : worker.lease.endToAskFor(BootClock::now());
+}
 
 void WorkerLinks::holdLater(const std::shared_ptr<Link>& link, Milliseconds time)
 {
@@ -81,7 +98,7 @@
     if (worker.noted != link->durable)
         return; // setDurable() goes on when the ends are stored
     platform::HoldRequest request { link->worker, token_, link->durable, std::nullopt, Milliseconds { 0 } };
-    if (worker.lease.hasClock() && events_.mayExtendLeases())
+    if (worker.lease.hasClock() && !worker.silent && events_.mayExtendLeases())
         request.leaseEnd = leaseEnd(worker);
     if (worker.reported && !link->failing) {
         request.wait = holdWait;
@@ -132,6 +149,7 @@
             logger("workers")->warn("dependency={} event=lost service={} status={}", link->worker, scheduler_.service(),
                 outcome.answered ? outcome.answer.status : 0);
         link->failing = true;
+        scheduler_.markSilent(link->worker);
         holdLater(link, retryTime);
         return;
     }
--- a/shallotdrift/src/Node/WorkerLinks.h
+++ b/shallotdrift/src/Node/WorkerLinks.h
@@ -23,6 +23,8 @@
 
     // Begins calls to new workers and ends those to workers that are gone.
     void sync();
+    // Ends the runs of workers whose instances have started again as other workers.
+    void loseReplaced(const std::map<std::string, WorkerInfo>& registry);
     // Numbers of the ends that the scheduler has taken so far, to be confirmed once its records are stored.
     std::map<std::string, uint64_t> notedEnds() const;
     void setDurable(const std::map<std::string, uint64_t>& noted);
