Let the next manager know the instances with recent orders, and hand partitions over faster

Cause: a new manager waited 3 s before its first order, and with entries restarted every 2 s no instance was moved; a service stood still for up to 0.6 s at each handover. Change: orders are recorded before they are given, and only those instances rest; joins every 250 ms; leases of 4 s; a wave is not complete while an instance of it is down; lasting tasks avoid instances that are due for maintenance.

--- a/shallotdrift/src/Instances/InstancePlanner.cpp
+++ b/shallotdrift/src/Instances/InstancePlanner.cpp
@@ -60,6 +60,16 @@
     return cordons;
 }
 
+std::set<std::string> InstancePlanner::maintenanceDue() const
+{
+    std::set<std::string> due;
+    for (const auto& [number, wave] : waves_)
+        for (const auto& id : wave.rule.instances)
+            if (!wave.completed && wave.done.count(id) == 0)
+                due.insert(id);
+    return due;
+}
+
 std::vector<std::pair<uint64_t, bool>> InstancePlanner::takeWaveChanges()
 {
     auto changes = std::move(waveChanges_);
@@ -166,7 +176,10 @@
         auto instance = instances_.find(item->first);
         bool over = instance == instances_.end() || instance->second.state == FleetInstance::State::Down;
         if (intent.orderedAt)
-            over = over || now - *intent.orderedAt > options_.orderLife;
+            over = over
+                || now - *intent.orderedAt > (intent.order.type == InstanceOrder::Type::Maintain
+                           ? options_.maintenanceLife
+                           : options_.orderLife);
         // A move that cannot begin because the instance does not become empty is given up; its pool may need it again.
         else if (intent.order.type == InstanceOrder::Type::Move && now - intent.since > options_.orderLife)
             over = true;
@@ -189,6 +202,8 @@
     for (auto& [id, intent] : intents_) {
         if (intent.orderedAt || orders.size() >= options_.ordersAtOnce || !empty(instances_.at(id), now))
             continue;
+        if (auto resting = resting_.find(id); resting != resting_.end() && now < resting->second)
+            continue;
         if (intent.order.type == InstanceOrder::Type::Maintain
             && ++maintained[intent.order.wave] > waves_[intent.order.wave].rule.maximumAtOnce)
             continue;
@@ -216,8 +231,8 @@
     case Outcome::Impossible:
         if (order.type == InstanceOrder::Type::Move && instance != instances_.end())
             impossible_.emplace(instance->second.kind, order.pool);
-        else
-            waves_[order.wave].done.insert(order.instance); // the platform does not know it, or not in this wave
+        else if (order.type == InstanceOrder::Type::Maintain)
+            resting_[order.instance] = now + options_.orderLife;
         [[fallthrough]];
     case Outcome::Busy:
         if (found != intents_.end())
@@ -247,8 +262,8 @@
         bool left = false;
         for (const auto& id : wave.rule.instances) {
             auto found = instances_.find(id);
-            if (found == instances_.end() || found->second.state == FleetInstance::State::Down)
-                continue;
+            if (found == instances_.end())
+                continue; // it has left the fleet
             const auto& instance = found->second;
             auto intent = intents_.find(id);
             bool ours = intent != intents_.end() && intent->second.order.type == InstanceOrder::Type::Maintain;
--- a/shallotdrift/src/Instances/InstancePlanner.h
+++ b/shallotdrift/src/Instances/InstancePlanner.h
@@ -63,6 +63,7 @@
     Milliseconds wantMemory { 1200 }; // a pool's size follows the largest need of this time
     Milliseconds surplusPause { 700 }; // an instance is idle for so long before it is switched off
     Milliseconds reportLife { 900 }; // an older report decides nothing
+    Milliseconds maintenanceLife { 2300 }; // an instance counts as away for so long after the order
     Milliseconds orderLife { 2500 }; // after it, an order without effect in the list is forgotten
     double cordonedShare = 0.34; // of a pool, for maintenance, while time is left
     size_t ordersAtOnce = 24;
@@ -90,6 +91,9 @@
     // Instances of the wave that are done, as an earlier manager has stored them.
     void restoreDone(uint64_t wave, const std::set<std::string>& instances);
 
+    // An earlier manager has given orders for the instance; this one gives none before the time.
+    void rest(const std::string& instance, Instant until) { resting_[instance] = until; }
+
     // Orders that may be given now; each is reported back by onOrder().
     std::vector<InstanceOrder> plan(Instant now);
     enum class Outcome : uint8_t { Ok, Busy, Impossible, Unknown };
@@ -97,6 +101,8 @@
 
     // Instances on which nothing new may be placed.
     std::set<std::string> cordons() const;
+    // Instances that an open wave has still to maintain; lasting tasks had better not be placed there.
+    std::set<std::string> maintenanceDue() const;
     // Waves whose state has changed since the last call: number and whether it is completed.
     std::vector<std::pair<uint64_t, bool>> takeWaveChanges();
     const std::set<std::string>& done(uint64_t wave) const;
@@ -149,6 +155,7 @@
     std::map<std::string, Pool> state_; // by pool
     std::map<std::string, Intent> intents_; // by instance
     std::map<std::string, Instant> idleSince_;
+    std::map<std::string, Instant> resting_;
     std::map<uint64_t, Wave> waves_;
     std::set<std::pair<std::string, std::string>> impossible_; // kind, pool
     std::vector<std::pair<uint64_t, bool>> waveChanges_;
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -83,7 +83,8 @@
             && runsOfStep(*worker, job.id(), occurrence.number, step) >= spec.maximumPerWorker)
             continue;
         bool far = !spec.dataRack.empty() && !hasLabel(*worker, spec.dataRack);
-        double disturbers = 0;
+        // A lasting task would have to leave again, and only a few of a step may be away at once.
+        double disturbers = spec.lasting && worker->maintenanceDue ? 100 : 0;
         if (spec.fillsIdle || spec.tailTarget.count() > 0)
             for (const auto& [id, run] : worker->runs)
                 disturbers += spec.fillsIdle ? (run.tailTarget.count() > 0 ? 1 : 0.3) : (run.fills ? 1 : 0);
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -115,7 +115,7 @@
     auto bootTime = worker.info.bootTime;
     worker.info = info;
     worker.listed = true;
-    worker.cordoned = cordons_.count(info.instance) != 0;
+    applyCordons(worker);
     if (bootTime != 0)
         worker.info.bootTime = bootTime; // onReport() compares it with what the worker says itself
 }
@@ -127,17 +127,20 @@
         found->second.listed = false;
 }
 
-void ServiceScheduler::setCordons(const std::set<std::string>& instances, Instant until)
+void ServiceScheduler::setCordons(
+    const std::set<std::string>& cordoned, const std::set<std::string>& maintenanceDue, Instant until)
 {
-    cordons_ = instances;
+    cordons_ = cordoned;
+    maintenanceDue_ = maintenanceDue;
     cordonsUntil_ = until;
-    applyCordons();
+    for (auto& [id, worker] : workers_)
+        applyCordons(worker);
 }
 
-void ServiceScheduler::applyCordons()
+void ServiceScheduler::applyCordons(Worker& worker) const
 {
-    for (auto& [id, worker] : workers_)
-        worker.cordoned = cordons_.count(worker.info.instance) != 0;
+    worker.cordoned = cordons_.count(worker.info.instance) != 0;
+    worker.maintenanceDue = maintenanceDue_.count(worker.info.instance) != 0;
 }
 
 void ServiceScheduler::assign(Worker& worker, const TaskId& id, Task& task, const StepSpec& step, uint32_t runNumber)
@@ -415,7 +418,7 @@
 void ServiceScheduler::expireLeases(const Now& now)
 {
     if (!cordons_.empty() && now.steady > cordonsUntil_)
-        setCordons({}, now.steady); // who asked for them is gone
+        setCordons({}, {}, now.steady); // who asked for them is gone
     std::vector<std::string> gone;
     for (auto& [id, worker] : workers_) {
         if (now.steady < worker.lease.lapsesAt())
@@ -510,8 +513,8 @@
         for (auto& [id, run] : worker.runs) {
             if (!run.stopWanted || !run.sent || now.steady - run.stopSent < options_.stopRepeat)
                 continue;
+            orders.push_back({ workerId, id, run.run, run.stopSent == Instant {} });
             run.stopSent = now.steady;
-            orders.push_back({ workerId, id, run.run });
         }
     return orders;
 }
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -46,6 +46,7 @@
     std::string worker;
     TaskId task;
     uint32_t run = 0;
+    bool first = false; // not a repetition
 };
 
 struct PaceOrder {
@@ -99,6 +100,7 @@
     bool reported = false; // its lists have been read since this process became the owner
     bool silent = false; // the last call to it got no answer
     bool cordoned = false; // the instance is to leave the pool or to be maintained
+    bool maintenanceDue = false; // the instance will be emptied soon
     Instant answeredAt {};
     Instant quarantinedUntil {};
     double failureScore = 0;
@@ -137,9 +139,10 @@
     // Workers.
     void updateWorker(const WorkerInfo&, Instant now);
     void unlistWorker(const std::string& id);
-    // The instances that nothing new may be placed on, until the time given; it is renewed while they are to be
-    // emptied.
-    void setCordons(const std::set<std::string>& instances, Instant until);
+    // The instances that nothing new may be placed on, and those that will be emptied for maintenance later. Holds
+    // until the time given, and is renewed while it is wanted.
+    void setCordons(
+        const std::set<std::string>& cordoned, const std::set<std::string>& maintenanceDue, Instant until);
     std::map<std::string, Worker>& workers() { return workers_; }
     const std::map<std::string, Worker>& workers() const { return workers_; }
     // The lists of a worker, asked for at this moment. Runs that should not be there are stopped with the next orders.
@@ -193,7 +196,7 @@
     // The run has ended or never began; the task may be placed again unless that settles it.
     void endRun(
         const std::string& worker, const TaskId&, uint32_t run, RunEnd, const std::string& checkpoint, const Now&);
-    void applyCordons();
+    void applyCordons(Worker&) const;
     void finishTask(Job&, const TaskId&, const Now&);
     void countFailure(Job&, const TaskId&, Task&, const Now&);
     void stopRuns(Job&);
@@ -216,6 +219,7 @@
     std::map<WallTime, std::vector<std::string>> expiry_;
     std::map<std::string, Worker> workers_;
     std::set<std::string> cordons_; // instances
+    std::set<std::string> maintenanceDue_; // instances
     Instant cordonsUntil_ {};
     std::vector<StateRecord> pendingRecords_;
 };
--- a/shallotdrift/src/Jobs/WorkerLease.h
+++ b/shallotdrift/src/Jobs/WorkerLease.h
@@ -7,7 +7,7 @@
 namespace shallotdrift {
 
 struct LeaseOptions {
-    Milliseconds length { 6000 }; // bridges the change of an owner, about 4 s
+    Milliseconds length { 4000 }; // bridges the loss of an owner: 2 s until it is noticed, 1 s to take over
     Milliseconds maximum { 10000 }; // the longest lease that a worker grants
     double clockSlack = 0.02; // a worker's clock may be this much slow
     Milliseconds margin { 100 };
--- a/shallotdrift/src/Node/FleetExchange.cpp
+++ b/shallotdrift/src/Node/FleetExchange.cpp
@@ -10,24 +10,35 @@
 // Without a renewal for so long the manager is gone, and its cordons with it.
 static constexpr Milliseconds cordonLife { 2000 };
 
-std::string encodeCordons(const std::set<std::string>& instances) { return json(instances).dump(); }
+std::string encodeCordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintenanceDue)
+{
+    return json::array({ cordoned, maintenanceDue }).dump();
+}
+
+static std::set<std::string> readSet(const json& list)
+{
+    std::set<std::string> names;
+    for (const auto& name : list)
+        if (name.is_string())
+            names.insert(name.get<std::string>());
+    return names;
+}
 
 std::string answerCordons(
     std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned, const Now& now)
 {
-    std::set<std::string> cordons;
-    auto list = json::parse(body, nullptr, false);
-    if (list.is_array())
-        for (const auto& instance : list)
-            if (instance.is_string())
-                cordons.insert(instance.get<std::string>());
+    auto lists = json::parse(body, nullptr, false);
+    if (!lists.is_array() || lists.size() != 2)
+        return json::array().dump();
+    auto cordons = readSet(lists[0]);
+    auto maintenanceDue = readSet(lists[1]);
     auto pools = json::array();
     for (const auto& [number, partition] : owned) {
         if (!partition->active())
             continue;
         for (auto& [name, service] : partition->services()) {
             auto& scheduler = service->scheduler;
-            scheduler.setCordons(cordons, now.steady + cordonLife);
+            scheduler.setCordons(cordons, maintenanceDue, now.steady + cordonLife);
             auto demand = scheduler.demand(now);
             auto workers = json::array();
             for (const auto& [id, worker] : scheduler.workers()) {
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -13,8 +13,10 @@
 static constexpr Milliseconds listInterval { 400 };
 static constexpr Milliseconds exchangeInterval { 100 };
 static constexpr Milliseconds exchangeTime { 400 };
-// Two managers must not take turns in ordering an instance within LeaseMs (3 s).
-static constexpr Milliseconds pauseAfterTaking { 3000 };
+// Two managers must not take turns in ordering an instance within LeaseMs (3 s); the rest is for their clocks.
+static constexpr Milliseconds restAfterOrder { 3300 };
+// The key of the list of instances with recent orders.
+static constexpr char ordersRecord[] = "orders/recent";
 static constexpr Milliseconds logInterval { 500 };
 // Names the records of the waves among those of jobs, whose ids have hexadecimal digits only.
 static constexpr char waveRecordPrefix[] = "wave/";
@@ -81,14 +83,8 @@
                 retryRead(after);
                 return;
             }
-            for (const auto& record : answer.records) {
-                if (record.key.rfind(waveRecordPrefix, 0) != 0)
-                    continue;
-                auto number = parseNumber(record.key.substr(std::string_view(waveRecordPrefix).size()), UINT64_MAX);
-                auto done = nlohmann::json::parse(record.value, nullptr, false);
-                if (number && done.is_array())
-                    planner_.restoreDone(*number, done.get<std::set<std::string>>());
-            }
+            for (const auto& record : answer.records)
+                readRecord(record);
             if (answer.more && !answer.records.empty()) {
                 readPage(answer.records.back().key);
                 return;
@@ -98,6 +94,22 @@
         });
 }
 
+void FleetManager::readRecord(const platform::KeyedRecord& record)
+{
+    auto value = nlohmann::json::parse(record.value, nullptr, false);
+    if (record.key == ordersRecord && value.is_object()) {
+        for (const auto& [instance, at] : value.items())
+            if (at.is_number_integer()) {
+                auto since = wallNow() - wallTimeFromUnix(Milliseconds { at.get<int64_t>() });
+                planner_.rest(instance, BootClock::now() + restAfterOrder - since);
+            }
+    } else if (record.key.rfind(waveRecordPrefix, 0) == 0 && value.is_array()) {
+        auto number = parseNumber(record.key.substr(std::string_view(waveRecordPrefix).size()), UINT64_MAX);
+        if (number)
+            planner_.restoreDone(*number, value.get<std::set<std::string>>());
+    }
+}
+
 void FleetManager::pollLater(Milliseconds time)
 {
     pollTimer_.expires_after(time);
@@ -152,7 +164,7 @@
 // Asks the owners of all services, then plans with what they have answered so far.
 void FleetManager::exchange()
 {
-    auto cordons = encodeCordons(planner_.cordons());
+    auto cordons = encodeCordons(planner_.cordons(), planner_.maintenanceDue());
     std::set<std::string> addresses;
     bool here = false;
     if (context_.configuration)
@@ -187,7 +199,7 @@
 void FleetManager::plan()
 {
     auto now = BootClock::now();
-    if (!listed_ || !context_.configuration || now - startedAt_ < pauseAfterTaking)
+    if (!listed_ || !context_.configuration)
         return;
     std::map<std::string, PoolRule> pools;
     for (const auto& [name, rule] : context_.configuration->services)
@@ -195,10 +207,9 @@
     planner_.setPools(std::move(pools));
     for (const auto& [number, wave] : links_.waves())
         planner_.addWave({ number, wave.instances, wave.maximumAtOnce, now + wave.duration });
-    for (const auto& next : planner_.plan(now))
-        order(next);
+    if (!writer_.busy())
+        giveOrders(planner_.plan(now));
     logPools(now);
-    storeDone();
     auto changes = planner_.takeWaveChanges();
     statuses_.insert(statuses_.end(), changes.begin(), changes.end());
     announce();
@@ -258,15 +269,36 @@
         });
 }
 
-void FleetManager::storeDone()
+std::vector<StateRecord> FleetManager::changedRecords()
 {
-    if (changedWaves_.empty() || writer_.busy())
-        return;
     std::vector<StateRecord> records;
     for (uint64_t wave : changedWaves_)
         records.push_back({ waveRecordPrefix + std::to_string(wave), nlohmann::json(planner_.done(wave)).dump() });
     changedWaves_.clear();
-    writer_.append(records, [] {});
+    return records;
+}
+
+// The next manager has to know the instances that this one is about to order.
+void FleetManager::giveOrders(const std::vector<InstanceOrder>& orders)
+{
+    auto records = changedRecords();
+    if (!orders.empty()) {
+        auto now = wallNow();
+        for (auto item = ordered_.begin(); item != ordered_.end();)
+            item = now - item->second > restAfterOrder ? ordered_.erase(item) : std::next(item);
+        auto recent = nlohmann::json::object();
+        for (const auto& next : orders)
+            ordered_[next.instance] = now;
+        for (const auto& [instance, at] : ordered_)
+            recent[instance] = unixMilliseconds(at);
+        records.push_back({ ordersRecord, recent.dump() });
+    }
+    if (records.empty())
+        return;
+    writer_.append(records, [this, orders] {
+        for (const auto& next : orders)
+            order(next);
+    });
 }
 
 void FleetManager::announce()
--- a/shallotdrift/src/Node/FleetManager.h
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -32,7 +32,9 @@
     void plan();
     void logPools(Instant now);
     void order(const InstanceOrder&);
-    void storeDone();
+    void giveOrders(const std::vector<InstanceOrder>&);
+    std::vector<StateRecord> changedRecords();
+    void readRecord(const platform::KeyedRecord&);
     void announce();
     void refused(const char* by);
     std::shared_ptr<bool> alive() const { return alive_; }
@@ -53,6 +55,7 @@
     Instant loggedAt_ {};
     std::vector<FleetInstance> page_;
     std::set<uint64_t> changedWaves_; // their lists of maintained instances are not stored yet
+    std::map<std::string, WallTime> ordered_; // instances with recent orders
     std::vector<std::pair<uint64_t, bool>> statuses_; // not written yet
     bool statusOnWay_ = false;
     bool listed_ = false;
--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -13,8 +13,9 @@
 static constexpr Milliseconds retryTime { 250 };
 static constexpr Milliseconds ownersInterval { 1500 }; // a change is also found by the first refused request
 static constexpr Milliseconds shortestRefresh { 120 };
-// Joins for each time to live: two may be lost.
-static constexpr int joinsPerLife = 4;
+// A partition changes hands when its old and its new owner have joined again, so the interval is the time for which a
+// service stands still at a planned stop. A call counts as a tenth of others.
+static constexpr Milliseconds joinInterval { 250 };
 
 uint32_t partitionOf(const std::string& service, uint32_t partitions)
 {
@@ -92,7 +93,7 @@
     if (changed)
         refreshOwners();
     // The next call tells the store that the released partitions may be given away.
-    later(released ? Milliseconds { 1 } : context_.settings.membershipTime / joinsPerLife);
+    later(released ? Milliseconds { 1 } : joinInterval);
 }
 
 void Membership::partitionRefused(uint32_t partition)
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -360,16 +360,14 @@
             pump();
     };
     waiting_.clear();
-    if (records.empty()) {
-        stored();
-        pumping_ = false;
-        return;
-    }
-    pumping_ = false;
-    writer_.append(records, std::move(stored));
     for (auto& [name, entry] : services_)
         for (const auto& order : entry->scheduler.stopsDue(now))
             entry->links.send(order);
+    if (records.empty())
+        stored();
+    else
+        writer_.append(records, std::move(stored));
+    pumping_ = false;
 }
 
 void OwnedPartition::tick()
--- a/shallotdrift/src/Node/WorkerLinks.cpp
+++ b/shallotdrift/src/Node/WorkerLinks.cpp
@@ -208,6 +208,9 @@
     auto found = scheduler_.workers().find(order.worker);
     if (found == scheduler_.workers().end() || found->second.info.address.empty())
         return;
+    if (order.first)
+        logger("workers")->info("request={} event=stop occurrence={} step={} index={} run={} worker={}",
+            order.task.job, order.task.occurrence, order.task.step, order.task.index, order.run, order.worker);
     context_.workers.send(found->second.info.address, platform::stopCall(order, token_), orderTime,
         [this, alive = alive_, order](HttpOutcome&& outcome) {
             if (!*alive || !outcome.answered)
--- a/shallotdrift/src/Settings/NodeSettings.h
+++ b/shallotdrift/src/Settings/NodeSettings.h
@@ -23,7 +23,7 @@
     // [store]
     std::string storeAddress;
     uint32_t storePartitions = 24;
-    Milliseconds membershipTime { 2500 }; // without a sign of life for so long, an entry loses its partitions
+    Milliseconds membershipTime { 2000 }; // without a sign of life for so long, an entry loses its partitions
 
     // [instances]
     std::string instancesAddress;
