--- a/shallotdrift/src/Http/HttpClient.h
+++ b/shallotdrift/src/Http/HttpClient.h
@@ -22,7 +22,7 @@
 struct HttpOutcome {
     bool answered = false;
     bool sent = false;
-    HttpMessage answer;
+    HttpMessage answer {};
 };
 
 // HTTP/1.1 client on an Asio thread, with kept-alive connections for each address. A connection that fails to answer
--- a/shallotdrift/src/Instances/InstancePlanner.h
+++ b/shallotdrift/src/Instances/InstancePlanner.h
@@ -15,30 +15,30 @@
 // An instance as the platform lists it.
 struct FleetInstance {
     enum class State : uint8_t { Up, Moving, Maintenance, Down };
-    std::string id;
-    std::string pool;
+    std::string id {};
+    std::string pool {};
     State state = State::Down;
-    std::string kind;
-    std::string rack;
+    std::string kind {};
+    std::string rack {};
     double cores = 0;
 };
 
 // What the owner of a service reports of its pool.
 struct PoolReport {
     struct WorkerLoad {
-        std::string instance;
+        std::string instance {};
         uint32_t runs = 0;
         uint32_t lastingRuns = 0;
         bool cordoned = false;
         bool draining = false;
     };
-    std::string service;
+    std::string service {};
     double heldCores = 0; // by runs
     double lastingCores = 0; // of lasting tasks, held or waiting
     double waitingCores = 0; // asked for by tasks whose turn has come
     double requiredCores = 0; // rate of work that ends the accepted jobs in time
     uint32_t minimumWorkers = 0; // that the spread of lasting tasks needs
-    std::vector<WorkerLoad> workers;
+    std::vector<WorkerLoad> workers {};
     Instant at {};
 };
 
@@ -50,7 +50,7 @@
 };
 
 struct PoolRule {
-    std::string name;
+    std::string name {};
     bool standby = false; // its instances are switched off and cost nothing
 };
 
@@ -72,8 +72,8 @@
 struct InstanceOrder {
     enum class Type : uint8_t { Move, Maintain };
     Type type = Type::Move;
-    std::string instance;
-    std::string pool; // Move: the new pool
+    std::string instance {};
+    std::string pool {}; // Move: the new pool
     uint64_t wave = 0; // Maintain
 };
 
--- a/shallotdrift/src/Jobs/JobTypes.h
+++ b/shallotdrift/src/Jobs/JobTypes.h
@@ -38,26 +38,26 @@
 // A group of equal tasks of a job.
 struct StepSpec {
     uint32_t count = 1;
-    Resources each;
+    Resources each {};
     Milliseconds estimate { 0 }; // of one task; a rough declaration
-    std::vector<uint32_t> after; // earlier steps whose tasks must all be done
+    std::vector<uint32_t> after {}; // earlier steps whose tasks must all be done
     bool checkpoints = false;
     bool gang = false; // the tasks run only together
     bool sameRack = false; // the tasks are slow when spread over racks
-    std::string requiredLabel;
-    std::string dataRack;
+    std::string requiredLabel {};
+    std::string dataRack {};
     uint32_t maximumPerWorker = 0; // 0: no limit
     bool copiesAllowed = false;
     bool lasting = false; // runs until the job is cancelled
-    std::string image; // tasks of one image behave alike
+    std::string image {}; // tasks of one image behave alike
     Milliseconds tailTarget { 0 }; // response times of a serving task; 0: does not serve
     bool fillsIdle = false; // uses the processor time that other tasks leave
     uint32_t mayMiss = 0; // tasks of a lasting step that planned work may take away at once
 };
 
 struct JobSpec {
-    std::string payload; // handed to the workers as it is
-    std::vector<StepSpec> steps;
+    std::string payload {}; // handed to the workers as it is
+    std::vector<StepSpec> steps {};
     uint32_t occurrences = 0; // 0: runs once, at once
     WallTime firstRun {};
     Milliseconds interval { 0 };
@@ -65,10 +65,10 @@
 
 // Sends a service's jobs to a pool of workers.
 struct QueueRule {
-    std::string name;
-    std::string host;
-    std::string prefix; // of the path; ends with '/'
-    std::string service;
+    std::string name {};
+    std::string host {};
+    std::string prefix {}; // of the path; ends with '/'
+    std::string service {};
     uint32_t priority = 0; // 0 comes first
     uint32_t maximumAttempts = 1;
     double stretch = 2.0; // objective: stretch times the longest chain of work, plus latencyTarget
@@ -79,31 +79,31 @@
         Milliseconds perWorker { 0 };
         Milliseconds validity { 0 }; // of a ticket
     };
-    std::optional<Advice> advice;
+    std::optional<Advice> advice {};
 };
 
 struct ServiceRule {
-    std::string name;
+    std::string name {};
     bool guarded = false; // its workers refuse what does not fit
     bool standby = false; // its instances are switched off
 };
 
 // A worker as the registry lists it: one boot of an instance.
 struct WorkerInfo {
-    std::string id;
-    std::string address;
-    std::string service;
-    std::string zone;
-    std::string instance; // the machine that the worker is a life of
+    std::string id {};
+    std::string address {};
+    std::string service {};
+    std::string zone {};
+    std::string instance {}; // the machine that the worker is a life of
     bool draining = false;
-    Resources capacity;
-    std::vector<std::string> labels;
-    std::optional<std::string> rack; // among the labels
+    Resources capacity {};
+    std::vector<std::string> labels {};
+    std::optional<std::string> rack {}; // among the labels
     int64_t bootTime = 0; // Unix milliseconds of the boot
 };
 
 struct TaskId {
-    std::string job;
+    std::string job {};
     uint32_t occurrence = 0;
     uint32_t step = 0;
     uint32_t index = 0;
@@ -120,26 +120,26 @@
 
 // What a worker says about one run.
 struct RunningRow {
-    TaskId task;
+    TaskId task {};
     uint32_t run = 0;
-    std::string checkpoint;
+    std::string checkpoint {};
     int32_t percent = 0;
     int64_t load = 0; // serving tasks: tail of response times in ms; others: processor use in thousandths of a core
 };
 
 struct EndedRow {
     uint64_t number = 0; // counts the ends of a worker's boot from 1
-    TaskId task;
+    TaskId task {};
     uint32_t run = 0;
     RunEnd end = RunEnd::Stopped;
-    std::string checkpoint;
+    std::string checkpoint {};
 };
 
 struct WorkerReport {
     Milliseconds clock { 0 }; // steady clock of the worker
     int64_t bootTime = 0; // Unix milliseconds; 0 when not stated
-    std::vector<RunningRow> running;
-    std::vector<EndedRow> ended;
+    std::vector<RunningRow> running {};
+    std::vector<EndedRow> ended {};
 };
 
 // Why a worker refused a start.
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -218,6 +218,15 @@
     return orders;
 }
 
+// A task on a worker that does not answer may have ended with it.
+bool ServiceScheduler::isAway(const Task& task) const
+{
+    if (!task.atWork)
+        return true;
+    auto worker = workers_.find(task.worker);
+    return worker == workers_.end() || worker->second.silent;
+}
+
 // Lasting tasks leave a worker that is draining or to be emptied, no more of a step at once than it may miss.
 void ServiceScheduler::planEvacuations(const Now& now)
 {
@@ -236,8 +245,8 @@
             auto& occurrence = job->open().at(id.occurrence);
             const auto& tasks = occurrence.steps[id.step].tasks;
             auto mayMiss = job->spec().steps[id.step].mayMiss;
-            size_t away = std::count_if(tasks.begin(), tasks.end(), [](const Task& task) { return !task.atWork; });
-            bool self = !tasks[id.index].atWork;
+            size_t away = std::count_if(tasks.begin(), tasks.end(), [this](const Task& task) { return isAway(task); });
+            bool self = isAway(tasks[id.index]);
             if (mayMiss > 0 && away - (self ? 1 : 0) >= mayMiss && !worker.info.draining)
                 continue;
             if (!worker.info.draining && !choose(*job, occurrence, id.step, targets))
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -34,32 +34,32 @@
 };
 
 struct StartOrder {
-    std::string worker;
-    TaskId task;
+    std::string worker {};
+    TaskId task {};
     uint32_t run = 0;
-    std::string payload;
-    std::string checkpoint;
+    std::string payload {};
+    std::string checkpoint {};
     bool repeated = false; // its record is stored already
 };
 
 struct StopOrder {
-    std::string worker;
-    TaskId task;
+    std::string worker {};
+    TaskId task {};
     uint32_t run = 0;
     bool first = false; // not a repetition
 };
 
 struct PaceOrder {
-    std::string worker;
-    TaskId task;
+    std::string worker {};
+    TaskId task {};
     uint32_t run = 0;
     uint32_t percent = 100;
 };
 
 // A change of the durable state; an empty value removes the key.
 struct StateRecord {
-    std::string key;
-    std::string value;
+    std::string key {};
+    std::string value {};
 };
 
 // What the owner of a service knows of one worker.
@@ -201,6 +201,7 @@
     void countFailure(Job&, const TaskId&, Task&, const Now&);
     void stopRuns(Job&);
     void countHealth(Worker&, const Task&, RunEnd, const Now&);
+    bool isAway(const Task&) const;
     void planEvacuations(const Now&);
     void placeJob(Job&, std::vector<Worker*>&, std::vector<StartOrder>&, const Now&);
     bool placeGang(Job&, Occurrence&, uint32_t step, std::vector<Worker*>&, std::vector<StartOrder>&);
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -149,6 +149,7 @@
     CPPUNIT_TEST(lostWorkersAreWaitedOut);
     CPPUNIT_TEST(unansweredStartsAreStoppedBeforeAnotherRun);
     CPPUNIT_TEST(cancelledJobsStartNothing);
+    CPPUNIT_TEST(evacuationsKeepTheBudget);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -275,6 +276,43 @@
         CPPUNIT_ASSERT_EQUAL(2U, again[0].run);
     }
 
+    // Guards against taking a lasting task away while another of its step is away: stopped before, or on a worker that
+    // does not answer (journal 20261204T1412, trouble-2: AVAIL).
+    void evacuationsKeepTheBudget()
+    {
+        SchedulerBench bench;
+        for (const char* worker : { "w1", "w2", "w3" })
+            bench.addWorker(worker);
+        auto step = makeStep(3, 1000);
+        step.lasting = true;
+        step.mayMiss = 1;
+        step.maximumPerWorker = 1;
+        bench.add("a", { step });
+        auto orders = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 3 }, orders.size());
+        for (const auto& order : orders)
+            bench.report(order.worker, { { order.task, 1, {}, 100, 0 } });
+        bench.addWorker("w4");
+        bench.addWorker("w5");
+        bench.scheduler->setCordons({ "m-w1", "m-w2" }, {}, bench.now.steady + Milliseconds { 60000 });
+        {
+            Section section("a silent worker counts as a task that is away");
+            bench.scheduler->markSilent("w3");
+            bench.plan();
+            CPPUNIT_ASSERT(bench.scheduler->stopsDue(bench.now).empty());
+            auto onThird = std::find_if(
+                orders.begin(), orders.end(), [](const StartOrder& order) { return order.worker == "w3"; });
+            bench.report("w3", { { onThird->task, 1, {}, 100, 0 } });
+        }
+        Section section("one task leaves at a time");
+        bench.plan();
+        auto stops = bench.scheduler->stopsDue(bench.now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        bench.report(stops[0].worker, { { stops[0].task, 1, {}, 100, 0 } });
+        bench.plan();
+        CPPUNIT_ASSERT(bench.scheduler->stopsDue(bench.now).empty());
+    }
+
     // Guards against a start whose job was cancelled while its record was being stored.
     void cancelledJobsStartNothing()
     {
