Share scarce instances among pools, empty surplus ones, and state the platform's bounds in the settings

Change: wishes beyond the fleet are cut in proportion; the least loaded instances of a pool with a surplus are emptied; late jobs count at the rate that ends them in 8 s; margins and bounds are settings.

--- a/shallotdrift/src/Instances/InstancePlanner.cpp
+++ b/shallotdrift/src/Instances/InstancePlanner.cpp
@@ -158,6 +158,9 @@
             = (report.lastingCores + expectedRate(pool, now) + options_.reserveCores) / options_.fillLevel;
         auto need = static_cast<size_t>(std::ceil(cores / coresPerInstance(name)));
         need = std::max<size_t>(need, pool.report.minimumWorkers);
+        pool.least = std::max<size_t>({ 1, pool.report.minimumWorkers,
+            static_cast<size_t>(
+                std::ceil(report.lastingCores / options_.fillLevel / coresPerInstance(name))) });
         auto& needs = pool.needs;
         needs.erase(std::remove_if(needs.begin(), needs.end(),
                         [&](const auto& entry) { return now - entry.first > options_.wantMemory; }),
@@ -181,7 +184,7 @@
                            ? options_.maintenanceLife
                            : options_.orderLife);
         // A move that cannot begin because the instance does not become empty is given up; its pool may need it again.
-        else if (intent.order.type == InstanceOrder::Type::Move && now - intent.since > options_.orderLife)
+        else if (intent.order.type == InstanceOrder::Type::Move && now - intent.since > options_.emptyingTime)
             over = true;
         item = over ? intents_.erase(item) : std::next(item);
     }
@@ -191,6 +194,7 @@
 {
     forgetOldIntents(now);
     measure(now);
+    shareScarceInstances();
     planWaves(now);
     planGrowth(now);
     planShrinking(now);
@@ -318,7 +322,32 @@
     return impossible_.count({ instance.kind, pool }) == 0;
 }
 
-// Instances for pools that need more: idle ones that another pool does not need, then those that are switched off.
+// When the pools want more instances than there are, each gets what its lasting tasks need and an equal share of the
+// rest of its wish; otherwise the pool that rose first would keep all of them.
+void InstancePlanner::shareScarceInstances()
+{
+    size_t total = 0;
+    for (const auto& [id, instance] : instances_)
+        if (instance.state != FleetInstance::State::Down)
+            ++total;
+    size_t wanted = 0;
+    size_t least = 0;
+    for (const auto& [name, pool] : state_)
+        if (auto rule = pools_.find(name); rule != pools_.end() && !rule->second.standby) {
+            wanted += pool.want;
+            least += std::min(pool.least, pool.want);
+        }
+    if (wanted <= total || wanted == least)
+        return;
+    double share = total <= least ? 0 : static_cast<double>(total - least) / static_cast<double>(wanted - least);
+    for (auto& [name, pool] : state_) {
+        auto base = std::min(pool.least, pool.want);
+        pool.want = base + static_cast<size_t>(std::floor(share * static_cast<double>(pool.want - base)));
+    }
+}
+
+// Instances for pools that need more: its own that are being emptied, idle ones that another pool does not need, those
+// that are switched off, and at last busy ones of pools that have more than they want.
 void InstancePlanner::planGrowth(Instant now)
 {
     std::vector<std::pair<double, std::string>> poor;
@@ -329,50 +358,112 @@
     }
     std::sort(poor.begin(), poor.end());
     for (const auto& [share, name] : poor) {
-        auto& pool = state_.at(name);
-        for (bool off : { false, true })
-            for (const auto& [id, instance] : instances_) {
-                if (pool.size >= pool.want)
-                    break;
-                auto rule = pools_.find(instance.pool);
-                if (rule == pools_.end() || rule->second.standby != off || instance.pool == name
-                    || instance.state != FleetInstance::State::Up || intents_.count(id) != 0
-                    || !mayJoin(instance, name))
-                    continue;
-                if (!off) {
-                    const auto* load = loadOf(instance);
-                    auto& from = state_.at(instance.pool);
-                    if (!load || load->runs > 0 || load->draining || !fresh(instance.pool, now)
-                        || from.size <= from.want)
-                        continue;
-                    --from.size;
-                }
-                intents_[id] = { { InstanceOrder::Type::Move, id, name, 0 }, now, std::nullopt };
-                ++pool.size;
-            }
+        takeBack(name);
+        takeInstances(name, false, now);
+        takeInstances(name, true, now);
+        takeBusy(name, now);
     }
 }
 
-void InstancePlanner::planShrinking(Instant now)
+void InstancePlanner::takeBack(const std::string& name)
+{
+    auto& pool = state_.at(name);
+    for (auto item = intents_.begin(); item != intents_.end() && pool.size < pool.want;) {
+        auto instance = instances_.find(item->first);
+        bool ours = !item->second.orderedAt && item->second.order.type == InstanceOrder::Type::Move
+            && instance != instances_.end() && instance->second.pool == name;
+        if (ours) {
+            auto target = state_.find(item->second.order.pool);
+            if (target != state_.end() && target->second.size > 0)
+                --target->second.size;
+            ++pool.size;
+        }
+        item = ours ? intents_.erase(item) : std::next(item);
+    }
+}
+
+void InstancePlanner::takeInstances(const std::string& name, bool switchedOff, Instant now)
 {
+    auto& pool = state_.at(name);
     for (const auto& [id, instance] : instances_) {
+        if (pool.size >= pool.want)
+            return;
         auto rule = pools_.find(instance.pool);
+        if (rule == pools_.end() || rule->second.standby != switchedOff || instance.pool == name
+            || instance.state != FleetInstance::State::Up || intents_.count(id) != 0 || !mayJoin(instance, name))
+            continue;
+        if (!switchedOff) {
+            const auto* load = loadOf(instance);
+            auto& from = state_.at(instance.pool);
+            if (!load || load->runs > 0 || load->draining || !fresh(instance.pool, now) || from.size <= from.want)
+                continue;
+            --from.size;
+        }
+        intents_[id] = { { InstanceOrder::Type::Move, id, name, 0 }, now, std::nullopt };
+        ++pool.size;
+    }
+}
+
+// The instance of a pool that is empty soonest; none with lasting tasks, which would have to leave one after another.
+const std::string* InstancePlanner::leastLoaded(
+    const std::string& pool, const std::string& target, Instant now) const
+{
+    const std::string* best = nullptr;
+    uint32_t bestRuns = 0;
+    if (!fresh(pool, now))
+        return nullptr;
+    for (const auto& [id, instance] : instances_) {
+        if (instance.pool != pool || instance.state != FleetInstance::State::Up || intents_.count(id) != 0
+            || !mayJoin(instance, target))
+            continue;
         const auto* load = loadOf(instance);
-        bool idle = rule != pools_.end() && !rule->second.standby && load && load->runs == 0 && !load->draining
-            && instance.state == FleetInstance::State::Up && intents_.count(id) == 0 && fresh(instance.pool, now);
-        if (!idle) {
-            idleSince_.erase(id);
+        if (!load || load->draining || load->lastingRuns > 0 || (best && load->runs >= bestRuns))
             continue;
+        best = &id;
+        bestRuns = load->runs;
+    }
+    return best;
+}
+
+void InstancePlanner::takeBusy(const std::string& name, Instant now)
+{
+    auto& pool = state_.at(name);
+    for (auto& [fromName, from] : state_) {
+        auto rule = pools_.find(fromName);
+        if (fromName == name || rule == pools_.end() || rule->second.standby)
+            continue;
+        while (pool.size < pool.want && from.size > from.want) {
+            const auto* id = leastLoaded(fromName, name, now);
+            if (!id)
+                break;
+            intents_[*id] = { { InstanceOrder::Type::Move, *id, name, 0 }, now, std::nullopt };
+            --from.size;
+            ++pool.size;
         }
-        auto since = idleSince_.emplace(id, now).first->second;
-        auto& pool = state_.at(instance.pool);
-        if (now - since < options_.surplusPause || pool.size <= pool.want)
+    }
+}
+
+// Instances beyond the need are emptied and switched off.
+void InstancePlanner::planShrinking(Instant now)
+{
+    for (auto& [name, pool] : state_) {
+        auto rule = pools_.find(name);
+        if (rule == pools_.end() || rule->second.standby)
+            continue;
+        if (pool.size <= pool.want) {
+            pool.surplusSince = now;
             continue;
-        auto standby = standbyPool(instance);
-        if (standby.empty())
+        }
+        if (now - pool.surplusSince < options_.surplusPause)
             continue;
-        intents_[id] = { { InstanceOrder::Type::Move, id, standby, 0 }, now, std::nullopt };
-        --pool.size;
+        while (pool.size > pool.want) {
+            const auto* id = leastLoaded(name, {}, now);
+            auto standby = id ? standbyPool(instances_.at(*id)) : std::string();
+            if (standby.empty())
+                break;
+            intents_[*id] = { { InstanceOrder::Type::Move, *id, standby, 0 }, now, std::nullopt };
+            --pool.size;
+        }
     }
 }
 
--- a/shallotdrift/src/Instances/InstancePlanner.h
+++ b/shallotdrift/src/Instances/InstancePlanner.h
@@ -65,6 +65,7 @@
     Milliseconds reportLife { 900 }; // an older report decides nothing
     Milliseconds maintenanceLife { 2300 }; // an instance counts as away for so long after the order
     Milliseconds orderLife { 2500 }; // after it, an order without effect in the list is forgotten
+    Milliseconds emptyingTime { 4500 }; // an instance that is not empty by then stays in its pool
     double cordonedShare = 0.34; // of a pool, for maintenance, while time is left
     size_t ordersAtOnce = 24;
 };
@@ -127,6 +128,8 @@
         std::deque<std::pair<Instant, double>> required; // recent rates
         std::vector<std::pair<Instant, size_t>> needs; // recent ones, for the memory of the need
         size_t want = 0;
+        size_t least = 1; // of the wanted instances, those for lasting tasks
+        Instant surplusSince {}; // since when the pool has been larger than wanted
         size_t size = 0; // instances that are up or on their way, without those that are to leave
     };
     struct Wave {
@@ -143,9 +146,14 @@
     void measure(Instant now);
     double expectedRate(Pool&, Instant now) const;
     void forgetOldIntents(Instant now);
+    void shareScarceInstances();
     void planWaves(Instant now);
     void planGrowth(Instant now);
+    void takeBack(const std::string& pool);
+    void takeInstances(const std::string& pool, bool switchedOff, Instant now);
+    void takeBusy(const std::string& pool, Instant now);
     void planShrinking(Instant now);
+    const std::string* leastLoaded(const std::string& pool, const std::string& target, Instant now) const;
     std::string standbyPool(const FleetInstance&) const;
     bool mayJoin(const FleetInstance&, const std::string& pool) const;
 
@@ -154,7 +162,6 @@
     std::map<std::string, FleetInstance> instances_;
     std::map<std::string, Pool> state_; // by pool
     std::map<std::string, Intent> intents_; // by instance
-    std::map<std::string, Instant> idleSince_;
     std::map<std::string, Instant> resting_;
     std::map<uint64_t, Wave> waves_;
     std::set<std::pair<std::string, std::string>> impossible_; // kind, pool
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -584,7 +584,11 @@
                         demand.waiting += cores;
             }
         }
-        if (auto time = std::max(chain, objectiveOf(job) - now.wall); time.count() > 0)
+        // Late jobs are worth little: they get what the others leave, at a rate that still ends them.
+        auto time = objectiveOf(job) - now.wall;
+        if (time < chain)
+            time = std::max(chain, options_.lateTime);
+        if (time.count() > 0)
             demand.required += job.remainingWork() / static_cast<double>(time.count());
     }
     return demand;
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -31,6 +31,7 @@
     Milliseconds failurePause { 100 }; // doubles with each failure of a task
     Milliseconds longestFailurePause { 2000 };
     Milliseconds quarantine { 6000 };
+    Milliseconds lateTime { 8000 }; // within which jobs past their objective are to end
 };
 
 struct StartOrder {
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -13,14 +13,28 @@
 static constexpr Milliseconds listInterval { 400 };
 static constexpr Milliseconds exchangeInterval { 100 };
 static constexpr Milliseconds exchangeTime { 400 };
-// Two managers must not take turns in ordering an instance within LeaseMs (3 s); the rest is for their clocks.
-static constexpr Milliseconds restAfterOrder { 3300 };
+// Difference of two managers' clocks.
+static constexpr Milliseconds clockMargin { 300 };
 // The key of the list of instances with recent orders.
 static constexpr char ordersRecord[] = "orders/recent";
 static constexpr Milliseconds logInterval { 500 };
+// Until the list of instances shows the end of a maintenance.
+static constexpr Milliseconds maintenanceMargin { 300 };
 // Names the records of the waves among those of jobs, whose ids have hexadecimal digits only.
 static constexpr char waveRecordPrefix[] = "wave/";
 
+static PlannerOptions plannerOptions(const NodeSettings& settings)
+{
+    PlannerOptions options;
+    options.margin = settings.margin;
+    options.reserveCores = settings.reserveCores;
+    options.trendAhead = settings.trendAhead;
+    options.wantMemory = settings.needMemory;
+    options.surplusPause = settings.surplusPause;
+    options.maintenanceLife = settings.maintenanceTime() + maintenanceMargin;
+    return options;
+}
+
 FleetManager::FleetManager(
     NodeContext& context, Membership& membership, uint64_t token, Links links, std::function<void()> onRefused)
     : context_(context)
@@ -29,7 +43,7 @@
     , links_(std::move(links))
     , onRefused_(std::move(onRefused))
     , writer_(context, { Membership::topic(), partition }, token, [this] { refused("store"); })
-    , planner_(PlannerOptions {})
+    , planner_(plannerOptions(context.settings))
     , startTimer_(context.io)
     , pollTimer_(context.io)
     , exchangeTimer_(context.io)
@@ -101,7 +115,7 @@
         for (const auto& [instance, at] : value.items())
             if (at.is_number_integer()) {
                 auto since = wallNow() - wallTimeFromUnix(Milliseconds { at.get<int64_t>() });
-                planner_.rest(instance, BootClock::now() + restAfterOrder - since);
+                planner_.rest(instance, BootClock::now() + restAfterOrder() - since);
             }
     } else if (record.key.rfind(waveRecordPrefix, 0) == 0 && value.is_array()) {
         auto number = parseNumber(record.key.substr(std::string_view(waveRecordPrefix).size()), UINT64_MAX);
@@ -119,6 +133,9 @@
     });
 }
 
+// Two managers must not take turns in ordering an instance within this time.
+Milliseconds FleetManager::restAfterOrder() const { return context_.settings.orderPause + clockMargin; }
+
 static FleetInstance fleetInstance(const platform::InstanceInfo& info)
 {
     FleetInstance instance;
@@ -285,7 +302,7 @@
     if (!orders.empty()) {
         auto now = wallNow();
         for (auto item = ordered_.begin(); item != ordered_.end();)
-            item = now - item->second > restAfterOrder ? ordered_.erase(item) : std::next(item);
+            item = now - item->second > restAfterOrder() ? ordered_.erase(item) : std::next(item);
         auto recent = nlohmann::json::object();
         for (const auto& next : orders)
             ordered_[next.instance] = now;
--- a/shallotdrift/src/Node/FleetManager.h
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -34,6 +34,7 @@
     void order(const InstanceOrder&);
     void giveOrders(const std::vector<InstanceOrder>&);
     std::vector<StateRecord> changedRecords();
+    Milliseconds restAfterOrder() const;
     void readRecord(const platform::KeyedRecord&);
     void announce();
     void refused(const char* by);
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -223,7 +223,7 @@
             bool listening = spent < listenAfterStop;
             if (!listening)
                 callers_.closeListener();
-            if ((!listening && callers_.openRequests() == 0) || spent > settings_.stopGrace - stopReserve) {
+            if ((!listening && callers_.openRequests() == 0) || spent > settings_.stopGrace() - stopReserve) {
                 logger("node")->info("event=stop open_requests={}", callers_.openRequests());
                 io_.stop();
                 return;
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -137,7 +137,9 @@
     if (!entry) {
         SchedulerOptions options;
         options.lease.maximum = context_.settings.longestLease;
-        options.statusKept = context_.settings.statusKept;
+        options.statusKept = context_.settings.statusKept();
+        options.lateTime = context_.settings.lateTime;
+        options.lease.length = std::min(options.lease.length, options.lease.maximum * 2 / 3);
         entry = std::make_unique<Service>(context_, name, options, token_,
             WorkerLinks::Events { [this] { pump(); }, [this] { refused("worker"); },
                 [this] { return context_.store.silence(BootClock::now()) < longestUnconfirmed; } });
--- a/shallotdrift/src/Settings/NodeSettings.cpp
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -16,7 +16,6 @@
 {
     using S = NodeSettings;
     using F = internal::ValueForm;
-    static constexpr double dayMilliseconds = 24.0 * 3600 * 1000;
     static constexpr auto required = Presence::Required;
     static constexpr auto optional = Presence::Optional;
     static const std::vector<SectionRules<S>> sections {
@@ -44,10 +43,21 @@
         { "instances",
             {
                 { "address", &S::instancesAddress, F::address(), optional, "the platform's interface to instances" },
-                { "move_ms", &S::instanceMoveTime, F::whole(0, 600000, "ms"), optional,
-                    "time from the order to move an instance until its new worker joins the pool" },
-                { "maintenance_ms", &S::maintenanceTime, F::whole(0, dayMilliseconds, "ms"), optional,
-                    "time from the order to maintain an instance until its new worker joins the pool" },
+            } },
+        { "planning",
+            {
+                { "margin", &S::margin, F::fraction(0.1, 10), optional,
+                    "size of a pool over the rate at which its accepted work has to be done" },
+                { "reserve_cores", &S::reserveCores, F::fraction(0, 100000), optional,
+                    "cores of each pool for the first jobs of a rise in demand" },
+                { "trend_ahead_s", &S::trendAhead, F::fraction(0, 600), optional,
+                    "time by which a rise in demand is carried forward, in seconds" },
+                { "need_memory_ms", &S::needMemory, F::whole(0, 600000, "ms"), optional,
+                    "a pool's size follows the largest need of this time" },
+                { "surplus_pause_ms", &S::surplusPause, F::whole(0, 600000, "ms"), optional,
+                    "a pool is larger than needed for so long before it is made smaller" },
+                { "late_ms", &S::lateTime, F::whole(100, 3600000, "ms"), optional,
+                    "time within which jobs past their objective are to end" },
             } },
         { "advice",
             { { "address", &S::adviceAddress, F::address(), optional,
@@ -56,10 +66,14 @@
             {
                 { "longest_lease_ms", &S::longestLease, F::whole(1000, 600000, "ms"), optional,
                     "longest lease that a worker grants" },
-                { "status_kept_ms", &S::statusKept, F::whole(1000, dayMilliseconds, "ms"), optional,
-                    "time for which the state of an ended job can be asked for" },
-                { "stop_grace_ms", &S::stopGrace, F::whole(0, 600000, "ms"), optional,
-                    "time from the stop signal until the process is killed" },
+                { "status_kept_s", &S::statusKeptSeconds, F::fraction(1, 1000000), optional,
+                    "time for which the state of an ended job can be asked for, in seconds" },
+                { "stop_grace_s", &S::stopGraceSeconds, F::fraction(0, 3600), optional,
+                    "time from the stop signal until the process is killed, in seconds" },
+                { "maintenance_s", &S::maintenanceSeconds, F::fraction(0, 1000000), optional,
+                    "time from the order to maintain an instance until its new worker joins the pool, in seconds" },
+                { "order_pause_ms", &S::orderPause, F::whole(0, 600000, "ms"), optional,
+                    "two managers must not order one instance within this time" },
             } },
     };
     return sections;
@@ -80,7 +94,7 @@
             internal::readSection(section, table->keys, settings, mistakes);
         else
             mistakes.add(
-                section, "unknown section; known sections are [node], [store], [instances], [advice] and [bounds]");
+                section, "unknown section; known sections are [node], [store], [instances], [planning], [advice] and [bounds]");
     }
     for (const auto& table : tables)
         if (table.presence == Presence::Required && !text.find(table.section))
--- a/shallotdrift/src/Settings/NodeSettings.h
+++ b/shallotdrift/src/Settings/NodeSettings.h
@@ -27,16 +27,31 @@
 
     // [instances]
     std::string instancesAddress;
-    Milliseconds instanceMoveTime { 1500 };
-    Milliseconds maintenanceTime { 2000 };
+
+    // [planning]
+    double margin = 1.4; // of a pool's size over the rate at which its accepted work has to be done
+    double reserveCores = 12; // of each pool, for the first jobs of a rise in demand
+    double trendAhead = 1.5; // seconds by which a rise in demand is carried forward
+    Milliseconds needMemory { 1200 }; // a pool's size follows the largest need of this time
+    Milliseconds surplusPause { 500 }; // a pool is larger than needed for so long before it is made smaller
+    Milliseconds lateTime { 8000 }; // within which jobs past their objective are to end
 
     // [advice]
     std::string adviceAddress;
 
-    // [bounds]
+    // [bounds]: what the platform states, in its units
     Milliseconds longestLease { 10000 };
-    Milliseconds statusKept { 120000 };
-    Milliseconds stopGrace { 6000 };
+    double statusKeptSeconds = 120;
+    double stopGraceSeconds = 6;
+    double maintenanceSeconds = 2;
+    Milliseconds orderPause { 3000 };
+
+    Milliseconds statusKept() const { return inMilliseconds(statusKeptSeconds); }
+    Milliseconds stopGrace() const { return inMilliseconds(stopGraceSeconds); }
+    Milliseconds maintenanceTime() const { return inMilliseconds(maintenanceSeconds); }
+
+private:
+    static Milliseconds inMilliseconds(double seconds) { return Milliseconds { static_cast<int64_t>(seconds * 1000) }; }
 };
 
 Result<NodeSettings> parseNodeSettings(std::string_view ini, std::string_view source);
