Order an instance away only by a report that was asked for after its cordon

Change: reports carry the time of their request; workers of one instance are added up. Runs that stand still are stopped and copied tasks of silent workers go elsewhere; pools keep their sizes until the first demand.

--- a/shallotdrift/src/Instances/InstancePlanner.cpp
+++ b/shallotdrift/src/Instances/InstancePlanner.cpp
@@ -95,13 +95,15 @@
 }
 
 // Nothing runs on the instance, and nothing can be placed there any more.
-bool InstancePlanner::empty(const FleetInstance& instance, Instant now) const
+bool InstancePlanner::empty(const FleetInstance& instance, Instant cordonedSince, Instant now) const
 {
     auto rule = pools_.find(instance.pool);
     if (rule != pools_.end() && rule->second.standby)
         return true;
     const auto* load = loadOf(instance);
-    return load && fresh(instance.pool, now) && load->cordoned && load->runs == 0;
+    // An older report may show an earlier cordon that has been lifted since.
+    return load && fresh(instance.pool, now) && state_.at(instance.pool).report.at > cordonedSince && load->cordoned
+        && load->runs == 0;
 }
 
 // Of the pool's own instances, or of all while it has none.
@@ -154,13 +156,11 @@
     }
     for (auto& [name, pool] : state_) {
         const auto& report = pool.report;
-        double cores
-            = (report.lastingCores + expectedRate(pool, now) + options_.reserveCores) / options_.fillLevel;
+        double cores = (report.lastingCores + expectedRate(pool, now) + options_.reserveCores) / options_.fillLevel;
         auto need = static_cast<size_t>(std::ceil(cores / coresPerInstance(name)));
         need = std::max<size_t>(need, pool.report.minimumWorkers);
         pool.least = std::max<size_t>({ 1, pool.report.minimumWorkers,
-            static_cast<size_t>(
-                std::ceil(report.lastingCores / options_.fillLevel / coresPerInstance(name))) });
+            static_cast<size_t>(std::ceil(report.lastingCores / options_.fillLevel / coresPerInstance(name))) });
         auto& needs = pool.needs;
         needs.erase(std::remove_if(needs.begin(), needs.end(),
                         [&](const auto& entry) { return now - entry.first > options_.wantMemory; }),
@@ -204,7 +204,7 @@
         if (intent.orderedAt && intent.order.type == InstanceOrder::Type::Maintain)
             ++maintained[intent.order.wave];
     for (auto& [id, intent] : intents_) {
-        if (intent.orderedAt || orders.size() >= options_.ordersAtOnce || !empty(instances_.at(id), now))
+        if (intent.orderedAt || orders.size() >= options_.ordersAtOnce || !empty(instances_.at(id), intent.since, now))
             continue;
         if (auto resting = resting_.find(id); resting != resting_.end() && now < resting->second)
             continue;
@@ -405,8 +405,7 @@
 }
 
 // The instance of a pool that is empty soonest; none with lasting tasks, which would have to leave one after another.
-const std::string* InstancePlanner::leastLoaded(
-    const std::string& pool, const std::string& target, Instant now) const
+const std::string* InstancePlanner::leastLoaded(const std::string& pool, const std::string& target, Instant now) const
 {
     const std::string* best = nullptr;
     uint32_t bestRuns = 0;
@@ -446,6 +445,11 @@
 // Instances beyond the need are emptied and switched off.
 void InstancePlanner::planShrinking(Instant now)
 {
+    // Before the first jobs nothing is known of the demand, and the sizes given by the operator are the best guess.
+    for (const auto& [name, pool] : state_)
+        demandSeen_ = demandSeen_ || pool.report.requiredCores > 0;
+    if (!demandSeen_)
+        return;
     for (auto& [name, pool] : state_) {
         auto rule = pools_.find(name);
         if (rule == pools_.end() || rule->second.standby)
--- a/shallotdrift/src/Instances/InstancePlanner.h
+++ b/shallotdrift/src/Instances/InstancePlanner.h
@@ -39,7 +39,7 @@
     double requiredCores = 0; // rate of work that ends the accepted jobs in time
     uint32_t minimumWorkers = 0; // that the spread of lasting tasks needs
     std::vector<WorkerLoad> workers {};
-    Instant at {};
+    Instant at {}; // when it was asked for, together with the cordons of that moment
 };
 
 struct MaintenanceWave {
@@ -141,7 +141,7 @@
 
     const PoolReport::WorkerLoad* loadOf(const FleetInstance&) const;
     bool fresh(const std::string& pool, Instant now) const;
-    bool empty(const FleetInstance&, Instant now) const;
+    bool empty(const FleetInstance&, Instant cordonedSince, Instant now) const;
     double coresPerInstance(const std::string& pool) const;
     void measure(Instant now);
     double expectedRate(Pool&, Instant now) const;
@@ -163,6 +163,7 @@
     std::map<std::string, Pool> state_; // by pool
     std::map<std::string, Intent> intents_; // by instance
     std::map<std::string, Instant> resting_;
+    bool demandSeen_ = false;
     std::map<uint64_t, Wave> waves_;
     std::set<std::pair<std::string, std::string>> impossible_; // kind, pool
     std::vector<std::pair<uint64_t, bool>> waveChanges_;
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -209,6 +209,7 @@
     for (auto& [id, job] : jobs_)
         if (job.active() && job.hasUnopened())
             job.openDueOccurrences(now.wall);
+    reviewRuns(now);
     planEvacuations(now);
     auto workers = usableWorkers(now.steady);
     if (workers.empty())
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -258,8 +258,17 @@
     }
     auto* job = find(id.job);
     auto* task = job ? job->find(id) : nullptr;
-    if (!task || task->run != runNumber || task->worker != workerId || task->state == TaskState::Done)
+    if (!task || task->state == TaskState::Done)
         return;
+    if (task->run != runNumber || task->worker != workerId) {
+        // An earlier copy of a task that may run twice; the first one to end counts.
+        if (end == RunEnd::Done && job->active() && job->spec().steps[id.step].copiesAllowed) {
+            if (auto* newer = findRun(task->worker, id, task->run))
+                newer->stopWanted = true;
+            finishTask(*job, id, now);
+        }
+        return;
+    }
     job->dirty = true;
     task->worker.clear();
     task->state = TaskState::Waiting;
@@ -308,25 +317,6 @@
     task.notBefore = now.steady + std::min(pause, options_.longestFailurePause);
 }
 
-// A worker that fails tasks which have not failed elsewhere gets no new work for a while.
-void ServiceScheduler::countHealth(Worker& worker, const Task& task, RunEnd end, const Now& now)
-{
-    static constexpr double failuresToQuarantine = 2.5;
-    if (end == RunEnd::Done)
-        worker.failureScore *= 0.5;
-    if (end != RunEnd::Failed || task.failures > 0)
-        return;
-    worker.failureScore = worker.failureScore * 0.9 + 1;
-    if (worker.failureScore < failuresToQuarantine)
-        return;
-    size_t quarantined = std::count_if(workers_.begin(), workers_.end(),
-        [&](const auto& entry) { return entry.second.quarantinedUntil > now.steady; });
-    if (quarantined * 3 >= workers_.size())
-        return; // failures everywhere come from the jobs
-    worker.quarantinedUntil = now.steady + options_.quarantine;
-    worker.failureScore = failuresToQuarantine - 1;
-}
-
 bool ServiceScheduler::beginStart(const StartOrder& order, const Now& now)
 {
     auto* run = findRun(order.worker, order.task, order.run);
@@ -572,8 +562,8 @@
             for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& spec = job.spec().steps[step];
                 if (spec.lasting && spec.maximumPerWorker > 0)
-                    demand.minimumWorkers = std::max(demand.minimumWorkers,
-                        (spec.count + spec.maximumPerWorker - 1) / spec.maximumPerWorker);
+                    demand.minimumWorkers = std::max(
+                        demand.minimumWorkers, (spec.count + spec.maximumPerWorker - 1) / spec.maximumPerWorker);
                 double cores = static_cast<double>(spec.each.milliCores) / 1000;
                 if (spec.fillsIdle || occurrence.steps[step].remaining == 0 || !job.stepReady(occurrence, step))
                     continue;
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -31,6 +31,7 @@
     Milliseconds failurePause { 100 }; // doubles with each failure of a task
     Milliseconds longestFailurePause { 2000 };
     Milliseconds quarantine { 6000 };
+    Milliseconds copyAfter { 900 }; // silence of a worker after which tasks that may run twice are copied
     Milliseconds lateTime { 8000 }; // within which jobs past their objective are to end
 };
 
@@ -142,8 +143,7 @@
     void unlistWorker(const std::string& id);
     // The instances that nothing new may be placed on, and those that will be emptied for maintenance later. Holds
     // until the time given, and is renewed while it is wanted.
-    void setCordons(
-        const std::set<std::string>& cordoned, const std::set<std::string>& maintenanceDue, Instant until);
+    void setCordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintenanceDue, Instant until);
     std::map<std::string, Worker>& workers() { return workers_; }
     const std::map<std::string, Worker>& workers() const { return workers_; }
     // The lists of a worker, asked for at this moment. Runs that should not be there are stopped with the next orders.
@@ -203,6 +203,9 @@
     void stopRuns(Job&);
     void countHealth(Worker&, const Task&, RunEnd, const Now&);
     bool isAway(const Task&) const;
+    bool quarantine(Worker&, const Now&);
+    void reviewRuns(const Now&);
+    void copyElsewhere(Worker&, const Now&);
     void planEvacuations(const Now&);
     void placeJob(Job&, std::vector<Worker*>&, std::vector<StartOrder>&, const Now&);
     bool placeGang(Job&, Occurrence&, uint32_t step, std::vector<Worker*>&, std::vector<StartOrder>&);
--- a/shallotdrift/src/Node/FleetExchange.cpp
+++ b/shallotdrift/src/Node/FleetExchange.cpp
@@ -24,6 +24,18 @@
     return names;
 }
 
+// An instance that has just started again may still be known by the worker of its earlier boot as well.
+static void addLoad(PoolReport::WorkerLoad& load, const Worker& worker)
+{
+    bool first = load.instance.empty();
+    load.instance = worker.info.instance;
+    load.runs += static_cast<uint32_t>(worker.runs.size());
+    load.lastingRuns += static_cast<uint32_t>(
+        std::count_if(worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return entry.second.lasting; }));
+    load.cordoned = worker.cordoned && (first || load.cordoned);
+    load.draining = load.draining || worker.info.draining;
+}
+
 std::string answerCordons(
     std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned, const Now& now)
 {
@@ -40,30 +52,28 @@
             auto& scheduler = service->scheduler;
             scheduler.setCordons(cordons, maintenanceDue, now.steady + cordonLife);
             auto demand = scheduler.demand(now);
+            std::map<std::string, PoolReport::WorkerLoad> loads;
+            for (const auto& [id, worker] : scheduler.workers())
+                if (!worker.info.instance.empty() && (worker.listed || !worker.runs.empty()))
+                    addLoad(loads[worker.info.instance], worker);
             auto workers = json::array();
-            for (const auto& [id, worker] : scheduler.workers()) {
-                if (worker.info.instance.empty())
-                    continue;
-                size_t lasting = std::count_if(
-                    worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return entry.second.lasting; });
-                workers.push_back(json::array({ worker.info.instance, worker.runs.size(), lasting, worker.cordoned,
-                    worker.info.draining || !worker.listed }));
-            }
-            pools.push_back(
-                json::array({ name, demand.held, demand.lasting, demand.waiting, demand.required, demand.minimumWorkers, std::move(workers) }));
+            for (const auto& [instance, load] : loads)
+                workers.push_back(json::array({ instance, load.runs, load.lastingRuns, load.cordoned, load.draining }));
+            pools.push_back(json::array({ name, demand.held, demand.lasting, demand.waiting, demand.required,
+                demand.minimumWorkers, std::move(workers) }));
         }
         partition->pump(); // cordons may ask for evacuations
     }
     return pools.dump();
 }
 
-std::vector<PoolReport> decodeReports(std::string_view body, Instant now)
+std::vector<PoolReport> decodeReports(std::string_view body, Instant askedAt)
 {
     std::vector<PoolReport> reports;
     try {
         for (const auto& row : json::parse(body)) {
             PoolReport report;
-            report.at = now;
+            report.at = askedAt;
             report.service = row.at(0).get<std::string>();
             report.heldCores = row.at(1).get<double>();
             report.lastingCores = row.at(2).get<double>();
--- a/shallotdrift/src/Node/FleetExchange.h
+++ b/shallotdrift/src/Node/FleetExchange.h
@@ -11,6 +11,6 @@
 // Takes the cordons and describes the pools of the partitions that this entry instance owns.
 std::string answerCordons(
     std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned, const Now&);
-std::vector<PoolReport> decodeReports(std::string_view body, Instant now);
+std::vector<PoolReport> decodeReports(std::string_view body, Instant askedAt);
 
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -181,6 +181,7 @@
 // Asks the owners of all services, then plans with what they have answered so far.
 void FleetManager::exchange()
 {
+    auto sentAt = BootClock::now();
     auto cordons = encodeCordons(planner_.cordons(), planner_.maintenanceDue());
     std::set<std::string> addresses;
     bool here = false;
@@ -195,14 +196,14 @@
                 addresses.insert(address);
         }
     if (here)
-        for (auto& report : decodeReports(links_.exchangeHere(cordons), BootClock::now()))
+        for (auto& report : decodeReports(links_.exchangeHere(cordons), sentAt))
             planner_.setReport(std::move(report));
     for (const auto& address : addresses)
         context_.peers.send(address, { "POST", "/fleet", {}, cordons, "application/json" }, exchangeTime,
-            [this, alive = alive_](HttpOutcome&& outcome) {
+            [this, alive = alive_, sentAt](HttpOutcome&& outcome) {
                 if (!*alive || !outcome.answered || outcome.answer.status != 200)
                     return;
-                for (auto& report : decodeReports(outcome.answer.body, BootClock::now()))
+                for (auto& report : decodeReports(outcome.answer.body, sentAt))
                     planner_.setReport(std::move(report));
             });
     plan();
@@ -240,8 +241,8 @@
     for (const auto& pool : planner_.view())
         logger("fleet")->info("pool={} event=sized instances={} wanted={} held={:.0f} lasting={:.0f} waiting={:.0f} "
                               "required={:.0f}",
-            pool.name, pool.size, pool.want, pool.report.heldCores, pool.report.lastingCores,
-            pool.report.waitingCores, pool.report.requiredCores);
+            pool.name, pool.size, pool.want, pool.report.heldCores, pool.report.lastingCores, pool.report.waitingCores,
+            pool.report.requiredCores);
 }
 
 void FleetManager::order(const InstanceOrder& next)
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -78,8 +78,8 @@
             for (int signal : { SIGTERM, SIGINT, SIGHUP })
                 signals_.add(signal);
             waitForSignal();
-            logger("node")->info("event=start name={} zone={} callers={} member={} instances={}", settings_.name, settings_.zone,
-                settings_.callerAddress, membership_.member(), settings_.instancesAddress);
+            logger("node")->info("event=start name={} zone={} callers={} member={} instances={}", settings_.name,
+                settings_.zone, settings_.callerAddress, membership_.member(), settings_.instancesAddress);
             return {};
         }
 
@@ -141,151 +141,150 @@
         {
             if (!context_.configuration || context_.stopping || fleet_ || settings_.instancesAddress.empty())
                 return;
-            FleetManager::Links links { [this]() -> const auto& { return configuration_.waves(); },
-                [this](const std::string& cordons) { return answerCordons(cordons, owned_, currentTime()); } };
-            fleet_ = std::make_shared<FleetManager>(
-                context_, membership_, granted_.at(FleetManager::partition), std::move(links), [this] {
-                    drop(FleetManager::partition);
-                    membership_.partitionRefused(FleetManager::partition);
-                });
-            fleet_->start();
+            FleetManager::Links links { [this]() -> const auto& { return configuration_.waves();
         }
+        , [this](const std::string& cordons) { return answerCordons(cordons, owned_, currentTime()); }
+    };
+    fleet_ = std::make_shared<FleetManager>(
+        context_, membership_, granted_.at(FleetManager::partition), std::move(links), [this] {
+            drop(FleetManager::partition);
+            membership_.partitionRefused(FleetManager::partition);
+        });
+    fleet_->start();
+} // namespace
 
-        void drop(uint32_t partition)
-        {
-            granted_.erase(partition);
-            if (partition == FleetManager::partition && fleet_) {
-                fleet_->stop();
-                asio::post(io_, [held = std::move(fleet_)] {});
-                fleet_ = nullptr;
-                return;
-            }
-            auto found = owned_.find(partition);
-            if (found == owned_.end())
-                return;
-            found->second->stop();
-            // Frames of the object may be on the stack.
-            asio::post(io_, [held = found->second] {});
-            owned_.erase(found);
-            registry_.setWanted(!owned_.empty());
-        }
+void drop(uint32_t partition)
+{
+    granted_.erase(partition);
+    if (partition == FleetManager::partition && fleet_) {
+        fleet_->stop();
+        asio::post(io_, [held = std::move(fleet_)] {});
+        fleet_ = nullptr;
+        return;
+    }
+    auto found = owned_.find(partition);
+    if (found == owned_.end())
+        return;
+    found->second->stop();
+    // Frames of the object may be on the stack.
+    asio::post(io_, [held = found->second] {});
+    owned_.erase(found);
+    registry_.setWanted(!owned_.empty());
+}
 
-        void onConfiguration()
-        {
-            const auto& limits = context_.configuration->limits;
-            callers_.setLimits(
-                { limits.maximumHeaderBytes, limits.maximumBodyBytes }, limits.headerTimeout, limits.idleTimeout);
-            for (const auto& [partition, generation] : granted_)
-                take(partition);
-            forEachOwned(&OwnedPartition::onConfiguration);
-        }
+void onConfiguration()
+{
+    const auto& limits = context_.configuration->limits;
+    callers_.setLimits(
+        { limits.maximumHeaderBytes, limits.maximumBodyBytes }, limits.headerTimeout, limits.idleTimeout);
+    for (const auto& [partition, generation] : granted_)
+        take(partition);
+    forEachOwned(&OwnedPartition::onConfiguration);
+}
 
-        void waitForSignal()
-        {
-            signals_.async_wait([this](std::error_code error, int signal) {
-                if (error)
-                    return;
-                if (signal == SIGHUP) {
-                    logger("node")->info("event=reload"); // the settings in use do not change while the process runs
-                    waitForSignal();
-                    return;
-                }
-                stop();
-            });
+void waitForSignal()
+{
+    signals_.async_wait([this](std::error_code error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP) {
+            logger("node")->info("event=reload"); // the settings in use do not change while the process runs
+            waitForSignal();
+            return;
         }
+        stop();
+    });
+}
 
-        // Partitions are handed over at once; callers are served through their new owners until none is left.
-        void stop()
-        {
-            if (context_.stopping)
-                return;
-            logger("node")->info(
-                "event=stopping open_requests={} partitions={}", callers_.openRequests(), owned_.size());
-            context_.stopping = true;
-            stopBegan_ = BootClock::now();
-            callers_.beginDrain();
-            releaseWhenStored();
-            pollStop();
-        }
+// Partitions are handed over at once; callers are served through their new owners until none is left.
+void stop()
+{
+    if (context_.stopping)
+        return;
+    logger("node")->info("event=stopping open_requests={} partitions={}", callers_.openRequests(), owned_.size());
+    context_.stopping = true;
+    stopBegan_ = BootClock::now();
+    callers_.beginDrain();
+    releaseWhenStored();
+    pollStop();
+}
 
-        void releaseWhenStored()
-        {
-            auto owned = owned_;
-            for (const auto& [number, partition] : owned)
-                drop(number);
-            drop(FleetManager::partition);
-            membership_.leave([] {});
-        }
+void releaseWhenStored()
+{
+    auto owned = owned_;
+    for (const auto& [number, partition] : owned)
+        drop(number);
+    drop(FleetManager::partition);
+    membership_.leave([] {});
+}
 
-        void pollStop()
-        {
-            auto spent = BootClock::now() - stopBegan_;
-            bool listening = spent < listenAfterStop;
-            if (!listening)
-                callers_.closeListener();
-            if ((!listening && callers_.openRequests() == 0) || spent > settings_.stopGrace() - stopReserve) {
-                logger("node")->info("event=stop open_requests={}", callers_.openRequests());
-                io_.stop();
-                return;
-            }
-            stopTimer_.expires_after(stopPoll);
-            stopTimer_.async_wait([this](std::error_code error) {
-                if (!error)
-                    pollStop();
-            });
-        }
+void pollStop()
+{
+    auto spent = BootClock::now() - stopBegan_;
+    bool listening = spent < listenAfterStop;
+    if (!listening)
+        callers_.closeListener();
+    if ((!listening && callers_.openRequests() == 0) || spent > settings_.stopGrace() - stopReserve) {
+        logger("node")->info("event=stop open_requests={}", callers_.openRequests());
+        io_.stop();
+        return;
+    }
+    stopTimer_.expires_after(stopPoll);
+    stopTimer_.async_wait([this](std::error_code error) {
+        if (!error)
+            pollStop();
+    });
+}
 
-        std::string metricsText() const
-        {
-            const auto& counters = context_.counters;
-            std::string text;
-            auto add = [&text](const char* name, uint64_t value) {
-                text += fmt::format("shallotdrift_{} {}\n", name, value);
-            };
-            add("requests_total", counters.requests);
-            add("jobs_accepted_total", counters.jobsAccepted);
-            add("jobs_refused_total", counters.jobsRefused);
-            add("requests_unanswered_total", counters.requestsUnanswered);
-            add("starts_sent_total", counters.startsSent);
-            add("starts_refused_total", counters.startsRefused);
-            add("starts_unanswered_total", counters.startsUnanswered);
-            add("runs_ended_total", counters.runsEnded);
-            add("holds_sent_total", counters.holdsSent);
-            add("holds_failed_total", counters.holdsFailed);
-            add("partitions_taken_total", counters.partitionsTaken);
-            add("partitions_lost_total", counters.partitionsLost);
-            add("instances_moved_total", counters.instancesMoved);
-            add("instances_maintained_total", counters.instancesMaintained);
-            add("store_calls_total", store_.calls());
-            add("store_reachable", store_.reachable() ? 1 : 0);
-            add("configuration_version", context_.configuration ? context_.configuration->version : 0);
-            add("partitions_owned", owned_.size());
-            return text;
-        }
+std::string metricsText() const
+{
+    const auto& counters = context_.counters;
+    std::string text;
+    auto add = [&text](const char* name, uint64_t value) { text += fmt::format("shallotdrift_{} {}\n", name, value); };
+    add("requests_total", counters.requests);
+    add("jobs_accepted_total", counters.jobsAccepted);
+    add("jobs_refused_total", counters.jobsRefused);
+    add("requests_unanswered_total", counters.requestsUnanswered);
+    add("starts_sent_total", counters.startsSent);
+    add("starts_refused_total", counters.startsRefused);
+    add("starts_unanswered_total", counters.startsUnanswered);
+    add("runs_ended_total", counters.runsEnded);
+    add("holds_sent_total", counters.holdsSent);
+    add("holds_failed_total", counters.holdsFailed);
+    add("partitions_taken_total", counters.partitionsTaken);
+    add("partitions_lost_total", counters.partitionsLost);
+    add("instances_moved_total", counters.instancesMoved);
+    add("instances_maintained_total", counters.instancesMaintained);
+    add("store_calls_total", store_.calls());
+    add("store_reachable", store_.reachable() ? 1 : 0);
+    add("configuration_version", context_.configuration ? context_.configuration->version : 0);
+    add("partitions_owned", owned_.size());
+    return text;
+}
 
-        NodeSettings settings_;
-        asio::io_context io_ { 1 };
-        DeadlineQueue deadlines_;
-        HttpClient workers_;
-        HttpClient peers_;
-        HttpClient platformClient_;
-        StoreLink store_;
-        NodeContext context_;
-        std::map<uint32_t, uint64_t> granted_; // partition -> generation at which it was given to this entry instance
-        std::map<uint32_t, std::shared_ptr<OwnedPartition>> owned_;
-        std::shared_ptr<FleetManager> fleet_;
-        Membership membership_;
-        RegistryFollower registry_;
-        ConfigurationFollower configuration_;
-        Front front_;
-        HttpServer callers_;
-        HttpServer ready_;
-        HttpServer peerServer_;
-        HttpServer metrics_;
-        asio::signal_set signals_;
-        asio::steady_timer stopTimer_;
-        Instant stopBegan_ {};
-    };
+NodeSettings settings_;
+asio::io_context io_ { 1 };
+DeadlineQueue deadlines_;
+HttpClient workers_;
+HttpClient peers_;
+HttpClient platformClient_;
+StoreLink store_;
+NodeContext context_;
+std::map<uint32_t, uint64_t> granted_; // partition -> generation at which it was given to this entry instance
+std::map<uint32_t, std::shared_ptr<OwnedPartition>> owned_;
+std::shared_ptr<FleetManager> fleet_;
+Membership membership_;
+RegistryFollower registry_;
+ConfigurationFollower configuration_;
+Front front_;
+HttpServer callers_;
+HttpServer ready_;
+HttpServer peerServer_;
+HttpServer metrics_;
+asio::signal_set signals_;
+asio::steady_timer stopTimer_;
+Instant stopBegan_ {};
+}; // namespace shallotdrift
 
 } // namespace
 
--- a/shallotdrift/src/Node/WorkerLinks.cpp
+++ b/shallotdrift/src/Node/WorkerLinks.cpp
@@ -5,8 +5,8 @@
 namespace shallotdrift::internal {
 
 static constexpr Milliseconds holdWait { 1000 };
-// Tails of serving tasks are reported by the half second; they are only of use beside filling tasks.
-static constexpr Milliseconds sharedHoldWait { 500 };
+// Tails and the progress of runs are of use by the half second.
+static constexpr Milliseconds busyHoldWait { 500 };
 static constexpr Milliseconds answerTime { 600 };
 static constexpr Milliseconds orderTime { 700 };
 static constexpr Milliseconds retryTime { 150 };
@@ -44,8 +44,7 @@
     for (const auto& [id, worker] : scheduler_.workers())
         if (!worker.info.instance.empty() && (worker.listed || !worker.runs.empty()))
             for (const auto& [otherId, other] : registry)
-                if (otherId != id && other.instance == worker.info.instance
-                    && other.bootTime > worker.info.bootTime)
+                if (otherId != id && other.instance == worker.info.instance && other.bootTime > worker.info.bootTime)
                     replaced.push_back(id);
     for (const auto& id : replaced)
         loseWorker(id);
@@ -101,10 +100,7 @@
     if (worker.lease.hasClock() && !worker.silent && events_.mayExtendLeases())
         request.leaseEnd = leaseEnd(worker);
     if (worker.reported && !link->failing) {
-        request.wait = holdWait;
-        for (const auto& [id, run] : worker.runs)
-            if (run.fills || run.tailTarget.count() > 0)
-                request.wait = sharedHoldWait;
+        request.wait = worker.runs.empty() ? holdWait : busyHoldWait;
     }
     link->calling = true;
     ++context_.counters.holdsSent;
@@ -209,8 +205,8 @@
     if (found == scheduler_.workers().end() || found->second.info.address.empty())
         return;
     if (order.first)
-        logger("workers")->info("request={} event=stop occurrence={} step={} index={} run={} worker={}",
-            order.task.job, order.task.occurrence, order.task.step, order.task.index, order.run, order.worker);
+        logger("workers")->info("request={} event=stop occurrence={} step={} index={} run={} worker={}", order.task.job,
+            order.task.occurrence, order.task.step, order.task.index, order.run, order.worker);
     context_.workers.send(found->second.info.address, platform::stopCall(order, token_), orderTime,
         [this, alive = alive_, order](HttpOutcome&& outcome) {
             if (!*alive || !outcome.answered)
--- a/shallotdrift/src/Settings/NodeSettings.cpp
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -93,8 +93,8 @@
         if (table != tables.end())
             internal::readSection(section, table->keys, settings, mistakes);
         else
-            mistakes.add(
-                section, "unknown section; known sections are [node], [store], [instances], [planning], [advice] and [bounds]");
+            mistakes.add(section,
+                "unknown section; known sections are [node], [store], [instances], [planning], [advice] and [bounds]");
     }
     for (const auto& table : tables)
         if (table.presence == Presence::Required && !text.find(table.section))
