Finish the jobs that have begun before others begin

Cause: with more demand than capacity, the earliest objective came first, so many jobs were begun just before their objective and became late between their steps. Change: among jobs that can still end in time, those that have begun come first.

--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -38,8 +38,8 @@
             queue == queues_.end() ? 0 : queue->second.priority, objective, &job });
     }
     std::sort(ranks.begin(), ranks.end(), [](const Rank& left, const Rank& right) {
-        return std::make_tuple(!left.serving, left.late, left.priority, left.objective)
-            < std::make_tuple(!right.serving, right.late, right.priority, right.objective);
+        return std::make_tuple(!left.serving, left.late, left.priority, !left.job->begun(), left.objective)
+            < std::make_tuple(!right.serving, right.late, right.priority, !right.job->begun(), right.objective);
     });
     std::vector<Job*> jobs;
     jobs.reserve(ranks.size());
