Keep the leases of silent workers over changes of the owner

Change: an owner stores the silent workers with the ends of their leases, and asks for no lease 3.5 s after its last confirmed membership, so an unknown lease is waited out for 5.7 s instead of 10.3 s. Test: silentWorkersAreNotWaitedForTwice.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -1,12 +1,16 @@
 #include "ServiceScheduler.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 namespace shallotdrift {
 
 // The state record of a job has this suffix behind the job's id; the specification has none.
 static constexpr char stateSuffix = '~';
 
+// The record of silent workers; ids of jobs have hexadecimal digits only.
+static constexpr char silentPrefix[] = "silent/";
+
 static std::string stateKey(const std::string& id) { return id + stateSuffix; }
 
 ServiceScheduler::ServiceScheduler(std::string service, const SchedulerOptions& options, Instant now)
@@ -424,10 +428,50 @@
 
 // Records
 
+std::string ServiceScheduler::silentKey() const { return silentPrefix + service_; }
+
+// True when the set of silent workers has changed.
+bool ServiceScheduler::updateSilent(const Now& now)
+{
+    std::map<std::string, WallTime> silent;
+    for (const auto& [id, worker] : workers_) {
+        auto known = silent_.find(id);
+        // What an earlier owner has found holds until the worker has answered this one.
+        bool silentNow = worker.silent || (known != silent_.end() && !worker.reported);
+        if (!silentNow || worker.runs.empty())
+            continue;
+        silent[id] = known != silent_.end()
+            ? known->second
+            : now.wall + std::chrono::ceil<Milliseconds>(worker.lease.lapsesAt() - now.steady);
+    }
+    bool changed = silent != silent_;
+    silent_ = std::move(silent);
+    return changed;
+}
+
+void ServiceScheduler::restoreSilent(const std::string& value, const Now& now)
+{
+    static constexpr Milliseconds clockDifference { 200 }; // of the two owners
+    auto silent = nlohmann::json::parse(value, nullptr, false);
+    if (!silent.is_object())
+        return;
+    for (const auto& [id, at] : silent.items())
+        if (at.is_number_integer()) {
+            auto lapse = wallTimeFromUnix(Milliseconds { at.get<int64_t>() });
+            silent_[id] = lapse;
+            workerEntry(id, now.steady).lease.setLapse(now.steady + (lapse - now.wall) + clockDifference);
+        }
+}
+
 std::vector<StateRecord> ServiceScheduler::collectRecords(const Now& now)
 {
-    std::vector<StateRecord> records = std::move(pendingRecords_);
-    pendingRecords_.clear();
+    std::vector<StateRecord> records;
+    if (updateSilent(now)) {
+        auto silent = nlohmann::json::object();
+        for (const auto& [id, at] : silent_)
+            silent[id] = unixMilliseconds(at);
+        records.push_back({ silentKey(), silent_.empty() ? std::string() : silent.dump() });
+    }
     std::vector<std::string> finished;
     for (auto& [id, job] : jobs_) {
         if (!job.dirty && (job.active() || job.hasRuns()))
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -171,6 +171,9 @@
     // The job that a record belongs to; states are rewritten, specifications stay.
     static std::string jobOfKey(const std::string& key);
     static bool isStateKey(const std::string& key);
+    // Workers that do not answer, with the ends of their leases: without them, each new owner would wait anew.
+    std::string silentKey() const;
+    void restoreSilent(const std::string& value, const Now&);
 
     // What the service needs, in cores, for the pool planner.
     struct Demand {
@@ -190,6 +193,7 @@
     };
 
     Worker& workerEntry(const std::string& id, Instant now);
+    bool updateSilent(const Now&);
     Worker::Run* findRun(const std::string& worker, const TaskId&, uint32_t run);
     void assign(Worker&, const TaskId&, Task&, const StepSpec&, uint32_t run);
     void takeRunning(Worker&, const RunningRow&, const Now&);
@@ -223,10 +227,10 @@
     std::unordered_map<std::string, Ended> ended_;
     std::map<WallTime, std::vector<std::string>> expiry_;
     std::map<std::string, Worker> workers_;
+    std::map<std::string, WallTime> silent_; // workers that do not answer and have runs -> end of their leases
     std::set<std::string> cordons_; // instances
     std::set<std::string> maintenanceDue_; // instances
     Instant cordonsUntil_ {};
-    std::vector<StateRecord> pendingRecords_;
 };
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Jobs/WorkerLease.h
+++ b/shallotdrift/src/Jobs/WorkerLease.h
@@ -11,22 +11,29 @@
     Milliseconds maximum { 10000 }; // the longest lease that a worker grants
     double clockSlack = 0.02; // a worker's clock may be this much slow
     Milliseconds margin { 100 };
+    Milliseconds earlierOwner { 1500 }; // time for which an owner may ask for leases after it has lost its partition
 };
 
 // The lease on everything that runs on one worker, measured on the worker's own steady clock.
 class WorkerLease {
 public:
+    // An earlier owner may have asked for a lease, and goes on to do so until it notices that it is not the owner.
     WorkerLease(const LeaseOptions& options, Instant now)
         : options_(&options)
-        , lapsesAt_(now + scaled(options.maximum) + options.margin) // an earlier owner may have extended it till now
+        , lapsesAt_(now + options.earlierOwner + scaled(options.length) + options.margin)
     {
     }
 
+    // The earlier owner has stopped to ask, and the lease lapses at this moment.
+    void setLapse(Instant at) { lapsesAt_ = std::min(lapsesAt_, at); }
+
     bool hasClock() const { return sampled_; }
 
     // The worker's clock showed this value at some moment before now.
     void sample(Milliseconds clock, Instant now)
     {
+        if (!sampled_) // it has seen this owner's token and obeys no earlier owner any more
+            lapsesAt_ = std::min(lapsesAt_, now + scaled(options_->length) + options_->margin);
         clock_ = clock;
         sampledAt_ = now;
         sampled_ = true;
--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -66,7 +66,7 @@
             later(retryTime);
             return;
         }
-        confirmedAt_ = askedAt;
+        context_.membershipConfirmedAt = askedAt;
         take(answer);
     });
 }
--- a/shallotdrift/src/Node/Membership.h
+++ b/shallotdrift/src/Node/Membership.h
@@ -29,8 +29,6 @@
     std::string ownerAddress(uint32_t partition) const;
     bool ownersKnown() const { return ownersKnown_; }
     void refreshOwners();
-    // Time since the store last confirmed this membership.
-    Duration unconfirmed(Instant now) const { return now - confirmedAt_; }
 
 private:
     void join();
@@ -45,7 +43,6 @@
     asio::steady_timer ownersTimer_;
     std::set<uint32_t> owned_;
     std::map<uint32_t, std::string> owners_; // partition -> member
-    Instant confirmedAt_ {};
     Instant refreshedAt_ {};
     bool ownersKnown_ = false;
     bool refreshing_ = false;
--- a/shallotdrift/src/Node/NodeContext.h
+++ b/shallotdrift/src/Node/NodeContext.h
@@ -42,6 +42,7 @@
     NodeCounters counters {};
     std::shared_ptr<const platform::Configuration> configuration {}; // null before the first
     std::map<std::string, WorkerInfo> registry {}; // by id
+    Instant membershipConfirmedAt {}; // sending time of the last join that was answered
     bool stopping = false;
 };
 
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -13,8 +13,9 @@
 static constexpr Milliseconds tickInterval { 100 };
 // Beyond this an append, which takes 5 ms, is held up: new jobs are refused at once instead of waiting for it.
 static constexpr Milliseconds stallLimit { 500 };
-// Without a confirmation of the membership for so long another owner may have waited out the workers' leases.
-static constexpr Milliseconds longestUnconfirmed { 12000 };
+// Without a confirmation of the membership for so long no lease is extended: the next owner, which takes over at the
+// earliest when the membership has lapsed, counts on it (LeaseOptions::earlierOwner is the difference).
+static constexpr Milliseconds longestUnconfirmed { 3500 };
 static constexpr unsigned notOwnerStatus = 421;
 
 static HttpResponse refusal(unsigned status, std::string_view reason, unsigned retryAfterSeconds)
@@ -107,6 +108,8 @@
     onConfiguration();
     size_t running = 0;
     for (auto& [id, records] : loaded_) {
+        if (id.find('/') != std::string::npos)
+            continue; // not a job
         auto job = Job::decodeSpec(id, records.first);
         if (!job) {
             Job ended(id, {}, {}, {}, wallNow(), 1);
@@ -122,8 +125,11 @@
         auto& scheduler = service(job->service()).scheduler;
         scheduler.restore(std::move(*job));
     }
-    for (auto& [name, entry] : services_)
+    for (auto& [name, entry] : services_) {
         entry->scheduler.finishRestore(currentTime());
+        if (auto silent = loaded_.find(entry->scheduler.silentKey()); silent != loaded_.end())
+            entry->scheduler.restoreSilent(silent->second.first, currentTime());
+    }
     logger("owner")->info("partition={} event=active token={} jobs={} kept={} took_ms={}", number_, token_, running,
         loaded_.size() - running, std::chrono::duration_cast<Milliseconds>(BootClock::now() - startedAt_).count());
     loaded_.clear();
@@ -142,7 +148,7 @@
         options.lease.length = std::min(options.lease.length, options.lease.maximum * 2 / 3);
         entry = std::make_unique<Service>(context_, name, options, token_,
             WorkerLinks::Events { [this] { pump(); }, [this] { refused("worker"); },
-                [this] { return context_.store.silence(BootClock::now()) < longestUnconfirmed; } });
+                [this] { return BootClock::now() - context_.membershipConfirmedAt < longestUnconfirmed; } });
     }
     return *entry;
 }
--- a/standin/Roles.h
+++ b/standin/Roles.h
@@ -15,5 +15,7 @@
 int runFleetRole();
 // Check: compares the journals of targets and callers against the promises.
 int runCheckRole();
+// Users: the users' platform by its published protocol, with a store, workers and their instances.
+int runUsersRole();
 
 } // namespace shallotdrift::standin
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -9,7 +9,7 @@
 int main(int argc, char** argv)
 {
     using namespace shallotdrift::standin; // NOLINT(google-build-using-namespace)
-    gflags::SetUsageMessage("shallotdrift-standin ROLE [FLAGS]; roles: platform, targets, load, relay, fleet, check");
+    gflags::SetUsageMessage("shallotdrift-standin ROLE [FLAGS]; roles: platform, targets, load, relay, fleet, check, users");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     static const std::map<std::string, std::function<int()>> roles {
         { "platform", runPlatformRole },
@@ -18,6 +18,7 @@
         { "relay", runRelayRole },
         { "fleet", runFleetRole },
         { "check", runCheckRole },
+        { "users", runUsersRole },
     };
     auto role = argc == 2 ? roles.find(argv[1]) : roles.end();
     if (role == roles.end()) {
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -112,7 +112,7 @@
         {
             reset();
             for (const auto& [key, value] : store) {
-                if (value.empty() || ServiceScheduler::isStateKey(key))
+                if (value.empty() || ServiceScheduler::isStateKey(key) || key == scheduler->silentKey())
                     continue;
                 auto job = Job::decodeSpec(key, value);
                 CPPUNIT_ASSERT(job);
@@ -130,6 +130,8 @@
                 scheduler->restoreEnded(id, ended.status(), ended.begun(), ended.ended());
             }
             scheduler->finishRestore(now);
+            if (auto silent = store.find(scheduler->silentKey()); silent != store.end())
+                scheduler->restoreSilent(silent->second, now);
         }
 
         Now now { Instant { Milliseconds { 1000000 } }, wallTimeFromUnix(Milliseconds { 1796384956000 }) };
@@ -148,6 +150,7 @@
     CPPUNIT_TEST(runsSurviveAChangeOfOwner);
     CPPUNIT_TEST(lostWorkersAreWaitedOut);
     CPPUNIT_TEST(unansweredStartsAreStoppedBeforeAnotherRun);
+    CPPUNIT_TEST(silentWorkersAreNotWaitedForTwice);
     CPPUNIT_TEST(cancelledJobsStartNothing);
     CPPUNIT_TEST(evacuationsKeepTheBudget);
     CPPUNIT_TEST_SUITE_END();
@@ -247,6 +250,25 @@
         CPPUNIT_ASSERT_EQUAL(std::string("w2"), again[0].worker);
     }
 
+    // Guards against waiting for a silent worker anew with each change of the owner (hunt-8360-19 of the Chamber: LOST).
+    void silentWorkersAreNotWaitedForTwice()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        bench.add("a", { makeStep(1, 1000) });
+        bench.plan();
+        bench.scheduler->workers().at("w1").lease.endToAskFor(bench.now.steady);
+        bench.scheduler->markSilent("w1");
+        for (int owner = 0; owner < 3; ++owner) {
+            bench.plan();
+            bench.pass(Milliseconds { 1900 });
+            bench.takeOver();
+        }
+        bench.addWorker("w2");
+        bench.scheduler->expireLeases(bench.now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, bench.plan().size());
+    }
+
     // Guards against a start that is carried out late beside another run of its task.
     void unansweredStartsAreStoppedBeforeAnotherRun()
     {
