--- a/shallotdrift/src/Http/HttpClient.cpp
+++ b/shallotdrift/src/Http/HttpClient.cpp
@@ -36,7 +36,7 @@
         }
     };
 
-    struct Shared {
+    struct ClientState {
         asio::io_context& io;
         DeadlineQueue& deadlines;
         HttpClientOptions options;
@@ -46,7 +46,7 @@
 
     class Connection : public std::enable_shared_from_this<Connection>, public Expiring {
     public:
-        Connection(Shared& shared, Pool& pool)
+        Connection(ClientState& shared, Pool& pool)
             : shared_(shared)
             , pool_(pool)
             , socket_(shared.io)
@@ -65,7 +65,7 @@
         void fail(bool silent);
         void expired() override;
 
-        Shared& shared_;
+        ClientState& shared_;
         Pool& pool_;
         tcp::socket socket_;
         HttpReader reader_;
@@ -77,7 +77,7 @@
     // Connections to one address and the requests that wait for one.
     class Pool : public Expiring {
     public:
-        Pool(Shared& shared, const std::string& address)
+        Pool(ClientState& shared, const std::string& address)
             : shared_(shared)
         {
             if (auto endpoint = parseAddress(address))
@@ -94,7 +94,7 @@
         void serve();
         void expired() override;
 
-        Shared& shared_;
+        ClientState& shared_;
         std::optional<tcp::endpoint> endpoint_;
         std::unordered_set<std::shared_ptr<Connection>> connections_;
         std::vector<std::shared_ptr<Connection>> idle_;
@@ -327,7 +327,7 @@
     }
 
 private:
-    Shared shared_;
+    ClientState shared_;
     std::unordered_map<std::string, std::unique_ptr<Pool>> pools_;
 };
 
--- a/shallotdrift/src/Http/HttpServer.cpp
+++ b/shallotdrift/src/Http/HttpServer.cpp
@@ -25,7 +25,7 @@
 
     class Session;
 
-    struct Shared {
+    struct ServerState {
         DeadlineQueue& deadlines;
         HttpServerOptions options;
         HttpServer::Handler handler;
@@ -38,7 +38,7 @@
     // One client's connection.
     class Session : public std::enable_shared_from_this<Session>, public Expiring {
     public:
-        Session(tcp::socket socket, Shared& shared)
+        Session(tcp::socket socket, ServerState& shared)
             : socket_(std::move(socket))
             , shared_(shared)
             , reader_(HttpReader::Type::Request, shared.options.limits)
@@ -203,7 +203,7 @@
         }
 
         tcp::socket socket_;
-        Shared& shared_;
+        ServerState& shared_;
         HttpReader reader_;
         State state_ = State::Reading;
         bool reading_ = false;
@@ -249,7 +249,7 @@
             session->stopIfIdle();
     }
 
-    Shared& shared() { return shared_; }
+    ServerState& shared() { return shared_; }
 
 private:
     void accept()
@@ -279,7 +279,7 @@
 
     tcp::acceptor acceptor_;
     asio::steady_timer acceptTimer_;
-    Shared shared_;
+    ServerState shared_;
 };
 
 HttpServer::HttpServer(asio::io_context& io, DeadlineQueue& deadlines, HttpServerOptions options, Handler handler)
--- a/shallotdrift/src/Jobs/Job.cpp
+++ b/shallotdrift/src/Jobs/Job.cpp
@@ -63,7 +63,7 @@
     }
 }
 
-Task* Job::find(const TaskId& id)
+JobTask* Job::find(const TaskId& id)
 {
     auto occurrence = open_.find(id.occurrence);
     if (occurrence == open_.end() || id.step >= occurrence->second.steps.size())
@@ -96,7 +96,7 @@
     }
 }
 
-void Job::forEachTask(const std::function<void(const TaskId&, Task&)>& visit)
+void Job::forEachTask(const std::function<void(const TaskId&, JobTask&)>& visit)
 {
     for (auto& [number, occurrence] : open_)
         for (uint32_t step = 0; step < occurrence.steps.size(); ++step)
--- a/shallotdrift/src/Jobs/Job.h
+++ b/shallotdrift/src/Jobs/Job.h
@@ -17,7 +17,7 @@
     Done,
 };
 
-struct Task {
+struct JobTask {
     TaskState state = TaskState::Waiting;
     bool atWork = false; // lasting tasks: the worker reported 100 percent
     uint32_t run = 0; // number of the newest run; 0 before the first
@@ -28,7 +28,7 @@
 };
 
 struct Step {
-    std::vector<Task> tasks;
+    std::vector<JobTask> tasks;
     uint32_t remaining = 0; // tasks that are not done
 };
 
@@ -69,12 +69,12 @@
     std::map<uint32_t, Occurrence>& open() { return open_; }
     const std::map<uint32_t, Occurrence>& open() const { return open_; }
     // Null when the id names no task of an open occurrence.
-    Task* find(const TaskId&);
+    JobTask* find(const TaskId&);
     // All tasks of the steps that this one comes after are done.
     bool stepReady(const Occurrence&, uint32_t step) const;
     // Counts the task as done; closes its occurrence and completes the job when it was the last.
     void markDone(const TaskId&, WallTime now);
-    void forEachTask(const std::function<void(const TaskId&, Task&)>&);
+    void forEachTask(const std::function<void(const TaskId&, JobTask&)>&);
     // A task still has a run on a worker.
     bool hasRuns() const;
 
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -98,7 +98,7 @@
     return best;
 }
 
-StartOrder ServiceScheduler::orderFor(const Job& job, const TaskId& id, const Task& task) const
+StartOrder ServiceScheduler::orderFor(const Job& job, const TaskId& id, const JobTask& task) const
 {
     return { task.worker, id, task.run, job.spec().payload, task.checkpoint };
 }
@@ -167,8 +167,9 @@
             const auto& spec = job.spec().steps[step];
             auto& tasks = occurrence.steps[step].tasks;
             if (spec.gang) {
-                bool waiting = std::all_of(tasks.begin(), tasks.end(),
-                    [&](const Task& task) { return task.state == TaskState::Waiting && task.notBefore <= now.steady; });
+                bool waiting = std::all_of(tasks.begin(), tasks.end(), [&](const JobTask& task) {
+                    return task.state == TaskState::Waiting && task.notBefore <= now.steady;
+                });
                 if (waiting)
                     placeGang(job, occurrence, step, workers, orders);
                 continue;
@@ -220,7 +221,7 @@
 }
 
 // A task on a worker that does not answer may have ended with it.
-bool ServiceScheduler::isAway(const Task& task) const
+bool ServiceScheduler::isAway(const JobTask& task) const
 {
     if (!task.atWork)
         return true;
@@ -246,7 +247,8 @@
             auto& occurrence = job->open().at(id.occurrence);
             const auto& tasks = occurrence.steps[id.step].tasks;
             auto mayMiss = job->spec().steps[id.step].mayMiss;
-            size_t away = std::count_if(tasks.begin(), tasks.end(), [this](const Task& task) { return isAway(task); });
+            size_t away
+                = std::count_if(tasks.begin(), tasks.end(), [this](const JobTask& task) { return isAway(task); });
             bool self = isAway(tasks[id.index]);
             if (mayMiss > 0 && away - (self ? 1 : 0) >= mayMiss && !worker.info.draining)
                 continue;
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -13,7 +13,7 @@
 
 static std::string stateKey(const std::string& id) { return id + stateSuffix; }
 
-ServiceScheduler::ServiceScheduler(std::string service, const SchedulerOptions& options, Instant now)
+ServiceScheduler::ServiceScheduler(std::string service, const ServiceSchedulerOptions& options, Instant now)
     : service_(std::move(service))
     , options_(options)
     , takenOver_(now)
@@ -73,7 +73,7 @@
 
 void ServiceScheduler::stopRuns(Job& job)
 {
-    job.forEachTask([this](const TaskId& id, Task& task) {
+    job.forEachTask([this](const TaskId& id, JobTask& task) {
         if (task.worker.empty())
             return;
         if (auto* run = findRun(task.worker, id, task.run))
@@ -147,7 +147,7 @@
     worker.maintenanceDue = maintenanceDue_.count(worker.info.instance) != 0;
 }
 
-void ServiceScheduler::assign(Worker& worker, const TaskId& id, Task& task, const StepSpec& step, uint32_t runNumber)
+void ServiceScheduler::assign(Worker& worker, const TaskId& id, JobTask& task, const StepSpec& step, uint32_t runNumber)
 {
     Worker::Run run;
     run.run = runNumber;
@@ -300,7 +300,7 @@
         job.markDone({ id.job, id.occurrence, id.step, index }, now.wall);
 }
 
-void ServiceScheduler::countFailure(Job& job, const TaskId& id, Task& task, const Now& now)
+void ServiceScheduler::countFailure(Job& job, const TaskId& id, JobTask& task, const Now& now)
 {
     const auto& step = job.spec().steps[id.step];
     if (step.lasting)
@@ -524,7 +524,7 @@
 void ServiceScheduler::finishRestore(const Now& now)
 {
     for (auto& [id, job] : jobs_)
-        job.forEachTask([&](const TaskId& taskId, Task& task) {
+        job.forEachTask([&](const TaskId& taskId, JobTask& task) {
             if (task.worker.empty())
                 return;
             auto& worker = workerEntry(task.worker, now.steady);
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -23,7 +23,7 @@
     WallTime wall;
 };
 
-struct SchedulerOptions {
+struct ServiceSchedulerOptions {
     LeaseOptions lease;
     Milliseconds statusKept { 120000 }; // how long the state of an ended job can be asked for
     Milliseconds contactTimeout { 1800 }; // no new work for a worker that has not answered for so long
@@ -119,7 +119,7 @@
 // it orders becomes valid when the records of collectRecords() are stored.
 class ServiceScheduler {
 public:
-    ServiceScheduler(std::string service, const SchedulerOptions&, Instant now);
+    ServiceScheduler(std::string service, const ServiceSchedulerOptions&, Instant now);
 
     const std::string& service() const { return service_; }
     void setQueues(std::map<std::string, QueueRule> queues) { queues_ = std::move(queues); }
@@ -195,7 +195,7 @@
     Worker& workerEntry(const std::string& id, Instant now);
     bool updateSilent(const Now&);
     Worker::Run* findRun(const std::string& worker, const TaskId&, uint32_t run);
-    void assign(Worker&, const TaskId&, Task&, const StepSpec&, uint32_t run);
+    void assign(Worker&, const TaskId&, JobTask&, const StepSpec&, uint32_t run);
     void takeRunning(Worker&, const RunningRow&, const Now&);
     void takeEnd(Worker&, const EndedRow&, const Now&);
     // The run has ended or never began; the task may be placed again unless that settles it.
@@ -203,10 +203,10 @@
         const std::string& worker, const TaskId&, uint32_t run, RunEnd, const std::string& checkpoint, const Now&);
     void applyCordons(Worker&) const;
     void finishTask(Job&, const TaskId&, const Now&);
-    void countFailure(Job&, const TaskId&, Task&, const Now&);
+    void countFailure(Job&, const TaskId&, JobTask&, const Now&);
     void stopRuns(Job&);
-    void countHealth(Worker&, const Task&, RunEnd, const Now&);
-    bool isAway(const Task&) const;
+    void countHealth(Worker&, const JobTask&, RunEnd, const Now&);
+    bool isAway(const JobTask&) const;
     bool quarantine(Worker&, const Now&);
     void reviewRuns(const Now&);
     void copyElsewhere(Worker&, const Now&);
@@ -214,13 +214,13 @@
     void placeJob(Job&, std::vector<Worker*>&, std::vector<StartOrder>&, const Now&);
     bool placeGang(Job&, Occurrence&, uint32_t step, std::vector<Worker*>&, std::vector<StartOrder>&);
     Worker* choose(const Job&, const Occurrence&, uint32_t step, const std::vector<Worker*>&) const;
-    StartOrder orderFor(const Job&, const TaskId&, const Task&) const;
+    StartOrder orderFor(const Job&, const TaskId&, const JobTask&) const;
     std::vector<Worker*> usableWorkers(Instant now);
     std::vector<Job*> jobsInOrder(const Now&);
     WallTime objectiveOf(const Job&) const;
 
     std::string service_;
-    SchedulerOptions options_;
+    ServiceSchedulerOptions options_;
     Instant takenOver_;
     std::map<std::string, QueueRule> queues_;
     std::map<std::string, Job> jobs_; // active ones, and ended ones that still have runs to stop
--- a/shallotdrift/src/Jobs/WorkerHealth.cpp
+++ b/shallotdrift/src/Jobs/WorkerHealth.cpp
@@ -7,7 +7,7 @@
 namespace shallotdrift {
 
 // A worker that fails tasks which have not failed elsewhere gets no new work for a while.
-void ServiceScheduler::countHealth(Worker& worker, const Task& task, RunEnd end, const Now& now)
+void ServiceScheduler::countHealth(Worker& worker, const JobTask& task, RunEnd end, const Now& now)
 {
     static constexpr double failuresToQuarantine = 2.5;
     if (end == RunEnd::Done)
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -25,7 +25,7 @@
     return response;
 }
 
-OwnedPartition::Service::Service(NodeContext& context, const std::string& name, const SchedulerOptions& options,
+OwnedPartition::Service::Service(NodeContext& context, const std::string& name, const ServiceSchedulerOptions& options,
     uint64_t token, WorkerLinks::Events events)
     : scheduler(name, options, BootClock::now())
     , links(context, scheduler, token, std::move(events))
@@ -141,7 +141,7 @@
 {
     auto& entry = services_[name];
     if (!entry) {
-        SchedulerOptions options;
+        ServiceSchedulerOptions options;
         options.lease.maximum = context_.settings.longestLease;
         options.statusKept = context_.settings.statusKept();
         options.lateTime = context_.settings.lateTime;
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -39,7 +39,8 @@
     void onRegistry();
 
     struct Service {
-        Service(NodeContext&, const std::string& name, const SchedulerOptions&, uint64_t token, WorkerLinks::Events);
+        Service(
+            NodeContext&, const std::string& name, const ServiceSchedulerOptions&, uint64_t token, WorkerLinks::Events);
         ServiceScheduler scheduler;
         WorkerLinks links;
     };
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -9,7 +9,8 @@
 int main(int argc, char** argv)
 {
     using namespace shallotdrift::standin; // NOLINT(google-build-using-namespace)
-    gflags::SetUsageMessage("shallotdrift-standin ROLE [FLAGS]; roles: platform, targets, load, relay, fleet, check, users");
+    gflags::SetUsageMessage(
+        "shallotdrift-standin ROLE [FLAGS]; roles: platform, targets, load, relay, fleet, check, users");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     static const std::map<std::string, std::function<int()>> roles {
         { "platform", runPlatformRole },
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -28,7 +28,7 @@
 
         void reset()
         {
-            scheduler = std::make_unique<ServiceScheduler>(serviceName, SchedulerOptions {}, now.steady);
+            scheduler = std::make_unique<ServiceScheduler>(serviceName, ServiceSchedulerOptions {}, now.steady);
             QueueRule queue;
             queue.name = queueName;
             queue.service = serviceName;
@@ -250,7 +250,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("w2"), again[0].worker);
     }
 
-    // Guards against waiting for a silent worker anew with each change of the owner (hunt-8360-19 of the Chamber: LOST).
+    // Guards against waiting for a silent worker anew with each change of the owner (hunt-8360-19 of the Chamber:
+    // LOST).
     void silentWorkersAreNotWaitedForTwice()
     {
         SchedulerBench bench;
