--- a/shallotdrift/src/Settings/CheckConfigCommand.cpp
+++ b/shallotdrift/src/Settings/CheckConfigCommand.cpp
@@ -1,6 +1,7 @@
 #include "CheckConfigCommand.h"
 
 #include "EntrySettings.h"
+#include "NodeSettings.h"
 #include "FleetConfiguration.h"
 #include "HandbookPlan.h"
 
@@ -37,6 +38,14 @@
         });
     }
 
+    void checkNodeSettings(const std::string& path)
+    {
+        check(path, [&](const std::string& text) -> Result<std::string> {
+            BOOST_LEAF_AUTO(settings, parseNodeSettings(text, path));
+            return fmt::format("settings of entry {} in zone {}, on the users' platform", settings.name, settings.zone);
+        });
+    }
+
     void checkConfiguration(const std::string& path)
     {
         check(path, [&](const std::string& text) -> Result<std::string> {
@@ -94,6 +103,7 @@
 
 // The configuration, which has no section of a fixed name, is what the other types are not.
 static constexpr FileType settingsType { "[entry]", &FileChecker::checkSettings };
+static constexpr FileType nodeSettingsType { "[node]", &FileChecker::checkNodeSettings };
 static constexpr FileType handbookType { "[handbook]", &FileChecker::checkHandbook };
 static constexpr FileType configurationType { {}, &FileChecker::checkConfiguration };
 
@@ -109,7 +119,7 @@
 
 static const FileType& typeOf(const std::string& path)
 {
-    for (const auto* type : { &settingsType, &handbookType }) {
+    for (const auto* type : { &settingsType, &nodeSettingsType, &handbookType }) {
         if (holdsSection(path, type->section))
             return *type;
     }
--- a/shallotdrift/src/Settings/KeyReference.cpp
+++ b/shallotdrift/src/Settings/KeyReference.cpp
@@ -35,6 +35,8 @@
         addRows("settings", section, rows);
     rows.push_back({ "settings", "[peers]", "ENTRY", internal::ValueForm::address().allowed(), "-",
         "peer address of another entry instance, used until the log tells more" });
+    for (const auto& section : internal::nodeSections())
+        addRows("node settings", section, rows);
     addRows("configuration", internal::zoneSection(), rows);
     addRows("configuration", internal::poolSection(), rows);
     addRows("configuration", internal::kindSection(), rows);
--- a/shallotdrift/src/Settings/NodeSettings.cpp
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -1,7 +1,7 @@
 #include "NodeSettings.h"
 
 #include "EntrySettings.h"
-#include "KeyRule.h"
+#include "SettingsTables.h"
 
 #include <fmt/format.h>
 
@@ -12,7 +12,7 @@
 using internal::Presence;
 using internal::SectionRules;
 
-static const std::vector<SectionRules<NodeSettings>>& nodeSections()
+const std::vector<SectionRules<NodeSettings>>& internal::nodeSections()
 {
     using S = NodeSettings;
     using F = internal::ValueForm;
@@ -86,7 +86,7 @@
     auto text = IniText::read(ini, mistakes);
     if (!text.readable())
         return boost::leaf::new_error(mistakes.error(ResultCode::InvalidSettings));
-    const auto& tables = nodeSections();
+    const auto& tables = internal::nodeSections();
     for (const auto& section : text.sections()) {
         auto table = std::find_if(
             tables.begin(), tables.end(), [&](const auto& candidate) { return candidate.section == section.name; });
--- a/shallotdrift/src/Settings/SettingsTables.h
+++ b/shallotdrift/src/Settings/SettingsTables.h
@@ -4,6 +4,7 @@
 #include "FleetConfiguration.h"
 #include "HandbookPlan.h"
 #include "KeyRule.h"
+#include "NodeSettings.h"
 
 #include <vector>
 
@@ -12,6 +13,9 @@
 // Keys of the settings of an entry instance. [peers] is read apart, because its keys are the names of entries.
 const std::vector<SectionRules<EntrySettings>>& entrySections();
 
+// Keys of the settings of an entry instance on the users' platform.
+const std::vector<SectionRules<NodeSettings>>& nodeSections();
+
 // Keys of the configuration's sections that carry a name.
 const SectionRules<ZoneConfiguration>& zoneSection();
 const SectionRules<PoolConfiguration>& poolSection();
