--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -216,8 +216,10 @@
         found = worker.runs.insert_or_assign(row.task, stray).first;
     }
     auto& run = found->second;
-    if (run.run != row.run)
-        return; // an older run that is being replaced; its end will be listed
+    if (run.run != row.run) { // an older run of the task, which was given up, has been started late
+        outdatedRuns_.push_back({ worker.info.id, row.task, row.run, true });
+        return;
+    }
     run.sent = true;
     run.uncertain = false;
     if (!run.confirmed) {
@@ -542,7 +544,8 @@
 
 std::vector<StopOrder> ServiceScheduler::stopsDue(const Now& now)
 {
-    std::vector<StopOrder> orders;
+    std::vector<StopOrder> orders = std::move(outdatedRuns_);
+    outdatedRuns_.clear();
     for (auto& [workerId, worker] : workers_)
         for (auto& [id, run] : worker.runs) {
             if (!run.stopWanted || !run.sent || now.steady - run.stopSent < options_.stopRepeat)
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -228,6 +228,7 @@
     std::map<WallTime, std::vector<std::string>> expiry_;
     std::map<std::string, Worker> workers_;
     std::map<std::string, WallTime> silent_; // workers that do not answer and have runs -> end of their leases
+    std::vector<StopOrder> outdatedRuns_; // listed beside a newer run of their task on the same worker
     std::set<std::string> cordons_; // instances
     std::set<std::string> maintenanceDue_; // instances
     Instant cordonsUntil_ {};
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -152,6 +152,7 @@
     CPPUNIT_TEST(unansweredStartsAreStoppedBeforeAnotherRun);
     CPPUNIT_TEST(silentWorkersAreNotWaitedForTwice);
     CPPUNIT_TEST(cancelledJobsStartNothing);
+    CPPUNIT_TEST(runsThatNobodyWantsAreStopped);
     CPPUNIT_TEST(evacuationsKeepTheBudget);
     CPPUNIT_TEST_SUITE_END();
 
@@ -299,6 +300,30 @@
         CPPUNIT_ASSERT_EQUAL(2U, again[0].run);
     }
 
+    // Guards against runs that go on although no job asks for them: started late, of an unknown job, or given up.
+    void runsThatNobodyWantsAreStopped()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        {
+            Section section("of a job that is not known");
+            bench.report("w1", { { { "b", 0, 0, 0 }, 1, {}, 10, 0 } });
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, bench.scheduler->stopsDue(bench.now).size());
+            bench.report("w1");
+            CPPUNIT_ASSERT(bench.scheduler->workers().at("w1").runs.empty());
+        }
+        Section section("an older run beside a newer one of the same task");
+        bench.add("a", { makeStep(1, 1000) }, 5);
+        bench.end(bench.plan().at(0), RunEnd::Failed);
+        bench.pass(Milliseconds { 500 });
+        auto second = bench.plan().at(0);
+        CPPUNIT_ASSERT_EQUAL(2U, second.run);
+        bench.report("w1", { { second.task, 1, {}, 10, 0 }, { second.task, 2, {}, 10, 0 } });
+        auto stops = bench.scheduler->stopsDue(bench.now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        CPPUNIT_ASSERT_EQUAL(1U, stops[0].run);
+    }
+
     // Guards against taking a lasting task away while another of its step is away: stopped before, or on a worker that
     // does not answer (journal 20261204T1412, trouble-2: AVAIL).
     void evacuationsKeepTheBudget()
