--- a/shallotdrift/src/Http/HttpServer.cpp
+++ b/shallotdrift/src/Http/HttpServer.cpp
@@ -302,6 +302,5 @@
 void HttpServer::beginDrain() { implementation_->shared().draining = true; }
 void HttpServer::closeListener() { implementation_->closeListener(); }
 size_t HttpServer::openRequests() const { return implementation_->shared().openRequests; }
-size_t HttpServer::connections() const { return implementation_->shared().sessions.size(); }
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Http/HttpServer.h
+++ b/shallotdrift/src/Http/HttpServer.h
@@ -45,7 +45,6 @@
     // Accepts no further connection and closes the idle ones.
     void closeListener();
     size_t openRequests() const;
-    size_t connections() const;
 
 private:
     class Implementation;
--- a/shallotdrift/src/Instances/InstancePlanner.cpp
+++ b/shallotdrift/src/Instances/InstancePlanner.cpp
@@ -141,18 +141,18 @@
     for (auto& [name, pool] : state_)
         pool.size = 0;
     for (const auto& [id, instance] : instances_) {
+        const auto* load = loadOf(instance);
         auto intent = intents_.find(id);
         bool leaves = intent != intents_.end();
-        if (instance.state == FleetInstance::State::Up && !leaves) {
-            const auto* load = loadOf(instance);
-            if (!load || !load->draining)
-                ++state_[instance.pool].size;
-        } else if (instance.state == FleetInstance::State::Moving)
-            ++state_[instance.pool].size; // listed with the pool that it moves to
+        // The list names a moving instance with the pool that it moves to.
+        bool counts = instance.state == FleetInstance::State::Moving
+            || (instance.state == FleetInstance::State::Maintenance
+                && (!leaves || intent->second.order.type == InstanceOrder::Type::Maintain))
+            || (instance.state == FleetInstance::State::Up && !leaves && !(load && load->draining));
+        if (counts)
+            ++state_[instance.pool].size;
         else if (leaves && intent->second.order.type == InstanceOrder::Type::Move)
             ++state_[intent->second.order.pool].size;
-        else if (instance.state == FleetInstance::State::Maintenance)
-            ++state_[instance.pool].size;
     }
     for (auto& [name, pool] : state_) {
         const auto& report = pool.report;
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -135,7 +135,6 @@
     std::optional<JobStatus> statusOf(const std::string& id, bool* begun = nullptr) const;
     bool cancel(const std::string& id, const Now&);
     size_t pending(const std::string& queue) const;
-    size_t activeJobs() const { return jobs_.size(); }
     const std::map<std::string, Job>& jobs() const { return jobs_; }
 
     // Workers.
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -86,7 +86,7 @@
     });
 }
 
-void FleetManager::readPage(std::string after)
+void FleetManager::readPage(const std::string& after)
 {
     context_.store.call(platform::newestCall({ Membership::topic(), partition }, after), callTime,
         [this, alive = alive_, after](std::optional<HttpMessage> message) {
@@ -143,7 +143,7 @@
     instance.pool = info.pool;
     instance.state = static_cast<FleetInstance::State>(info.state);
     instance.kind = info.labels.empty() ? std::string() : info.labels.front();
-    instance.rack = info.labels.size() > 1 ? info.labels[1] : std::string();
+    instance.rack = info.rack;
     instance.cores = static_cast<double>(info.capacity.milliCores) / 1000;
     return instance;
 }
@@ -152,7 +152,7 @@
     static_cast<int>(FleetInstance::State::Maintenance) == static_cast<int>(platform::InstanceState::Maintenance),
     "the states of instances are numbered alike in the product and in platform/");
 
-void FleetManager::poll(std::string page)
+void FleetManager::poll(const std::string& page)
 {
     if (page.empty())
         page_.clear();
--- a/shallotdrift/src/Node/FleetManager.h
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -24,9 +24,9 @@
     void stop();
 
 private:
-    void readPage(std::string after);
+    void readPage(const std::string& after);
     void retryRead(std::string after);
-    void poll(std::string page);
+    void poll(const std::string& page);
     void pollLater(Milliseconds);
     void exchange();
     void plan();
@@ -38,7 +38,6 @@
     void readRecord(const platform::KeyedRecord&);
     void announce();
     void refused(const char* by);
-    std::shared_ptr<bool> alive() const { return alive_; }
 
     NodeContext& context_;
     Membership& membership_;
@@ -52,7 +51,6 @@
     asio::steady_timer exchangeTimer_;
     asio::steady_timer statusTimer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-    Instant startedAt_ = BootClock::now();
     Instant loggedAt_ {};
     std::vector<FleetInstance> page_;
     std::set<uint64_t> changedWaves_; // their lists of maintained instances are not stored yet
--- a/shallotdrift/src/Node/Followers.cpp
+++ b/shallotdrift/src/Node/Followers.cpp
@@ -33,7 +33,7 @@
     });
 }
 
-void ConfigurationFollower::readAll(std::string after)
+void ConfigurationFollower::readAll(const std::string& after)
 {
     bool first = after.empty();
     context_.store.call(platform::newestCall(platform::operatorPartition(), after), answerTime,
@@ -127,7 +127,7 @@
     });
 }
 
-void RegistryFollower::readAll(std::string after)
+void RegistryFollower::readAll(const std::string& after)
 {
     if (after.empty())
         loading_.clear();
--- a/shallotdrift/src/Node/Followers.h
+++ b/shallotdrift/src/Node/Followers.h
@@ -15,7 +15,7 @@
     const std::map<uint64_t, platform::WaveRequest>& waves() const { return waves_; }
 
 private:
-    void readAll(std::string after);
+    void readAll(const std::string& after);
     void follow();
     void retry(bool all);
     void take(const platform::KeyedRecord&);
@@ -37,7 +37,7 @@
     bool loaded() const { return loaded_; }
 
 private:
-    void readAll(std::string after);
+    void readAll(const std::string& after);
     void poll();
     void later(Milliseconds);
     bool take(const platform::KeyedRecord&);
--- a/shallotdrift/src/Node/Membership.h
+++ b/shallotdrift/src/Node/Membership.h
@@ -38,7 +38,7 @@
 
     NodeContext& context_;
     Events events_;
-    platform::Membership membership_;
+    platform::GroupMember membership_;
     asio::steady_timer joinTimer_;
     asio::steady_timer ownersTimer_;
     std::set<uint32_t> owned_;
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -255,6 +255,7 @@
     add("partitions_lost_total", counters.partitionsLost);
     add("instances_moved_total", counters.instancesMoved);
     add("instances_maintained_total", counters.instancesMaintained);
+    add("worker_connections_total", workers_.connectionsOpened());
     add("store_calls_total", store_.calls());
     add("store_reachable", store_.reachable() ? 1 : 0);
     add("configuration_version", context_.configuration ? context_.configuration->version : 0);
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -76,7 +76,7 @@
     });
 }
 
-void OwnedPartition::readPage(std::string after)
+void OwnedPartition::readPage(const std::string& after)
 {
     context_.store.call(platform::newestCall({ Membership::topic(), number_ }, after), readTime,
         [this, alive = alive_, after](std::optional<HttpMessage> message) {
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -31,7 +31,6 @@
     void stop();
     bool active() const { return active_; }
     uint64_t token() const { return token_; }
-    Instant startedAt() const { return startedAt_; }
 
     // Answers 421 while the state is not loaded.
     void handle(OwnerRequest&&, Reply);
@@ -55,7 +54,7 @@
         Reply reply;
     };
 
-    void readPage(std::string after);
+    void readPage(const std::string& after);
     void finishLoad();
     Service& service(const std::string& name);
     void submit(OwnerRequest&&, Reply);
--- a/standin/UsersRole.cpp
+++ b/standin/UsersRole.cpp
@@ -40,8 +40,7 @@
             , deadlines_(io_)
         {
             serve(0, [this](HttpMessage&& request, HttpServer::Reply reply) { onStore(request, std::move(reply)); });
-            serve(
-                1, [this](HttpMessage&& request, HttpServer::Reply reply) { onInstances(request, std::move(reply)); });
+            serve(1, [this](HttpMessage&& request, const HttpServer::Reply& reply) { onInstances(request, reply); });
             for (int i = 0; i < 2 * FLAGS_users_workers; ++i) {
                 auto& instance = instances_["m-" + std::to_string(i)];
                 instance.port = 2 + i;
@@ -128,7 +127,7 @@
             store_.put(platform::registryPartition().topic, record.key, record.value);
         }
 
-        static Resources capacity() { return { 1000 * FLAGS_users_cores, 64000, 0 }; }
+        static Resources capacity() { return { int64_t { 1000 } * FLAGS_users_cores, 64000, 0 }; }
 
         void onStore(const HttpMessage& request, HttpServer::Reply reply)
         {
