Make late starts again, and keep leases up while ends wait for the store

The leases had ended because an owner made no calls to a worker whose ends were waiting to be stored. Change: a start refused as late is made again under a new number; a stored append counts towards the ownership; a worker with unstored ends is called every 0.8 s. Test: lateStartsAreMadeAgain.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -356,7 +356,8 @@
         return;
     }
     if (refusal == StartRefusal::Late) {
-        run->resendAt = now.steady;
+        // The lease that the order asked for has ended, so no earlier copy of it can be carried out either.
+        endRun(order.worker, order.task, order.run, RunEnd::Stopped, {}, now);
         return;
     }
     if (refusal == StartRefusal::Fenced)
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -147,8 +147,8 @@
         options.lateTime = context_.settings.lateTime;
         options.lease.length = std::min(options.lease.length, options.lease.maximum * 2 / 3);
         entry = std::make_unique<Service>(context_, name, options, token_,
-            WorkerLinks::Events { [this] { pump(); }, [this] { refused("worker"); },
-                [this] { return BootClock::now() - context_.membershipConfirmedAt < longestUnconfirmed; } });
+            WorkerLinks::Events {
+                [this] { pump(); }, [this] { refused("worker"); }, [this] { return mayExtendLeases(); } });
     }
     return *entry;
 }
@@ -192,6 +192,14 @@
     pump();
 }
 
+// A stored append shows that no other owner had begun by then, whereas a confirmed join keeps others away for the time
+// of the membership; it counts for that much less.
+bool OwnedPartition::mayExtendLeases() const
+{
+    auto confirmed = std::max(context_.membershipConfirmedAt, writer_.confirmedAt() - context_.settings.membershipTime);
+    return BootClock::now() - confirmed < longestUnconfirmed;
+}
+
 bool OwnedPartition::storeStalled(Instant now) const { return writer_.stalled(now) > stallLimit; }
 
 bool OwnedPartition::knows(const std::string& job) const
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -62,6 +62,7 @@
     void cancel(const OwnerRequest&, Reply);
     void takeSubmissions();
     void afterStored(std::function<void()>);
+    bool mayExtendLeases() const;
     bool storeStalled(Instant now) const;
     void refuseSubmissions();
     void later();
--- a/shallotdrift/src/Node/PartitionWriter.cpp
+++ b/shallotdrift/src/Node/PartitionWriter.cpp
@@ -40,10 +40,13 @@
 
 void PartitionWriter::send()
 {
+    auto sentAt = BootClock::now();
     context_.store.call(platform::appendCall(partition_, producer_, bytes_), appendTime,
-        [this, alive = alive_](std::optional<HttpMessage> message) {
+        [this, alive = alive_, sentAt](std::optional<HttpMessage> message) {
             if (!*alive)
                 return;
+            if (message && platform::readAppend(*message).status == platform::StoreStatus::Ok)
+                confirmedAt_ = sentAt;
             if (message)
                 onAnswer(platform::readAppend(*message));
             else
--- a/shallotdrift/src/Node/PartitionWriter.h
+++ b/shallotdrift/src/Node/PartitionWriter.h
@@ -21,6 +21,8 @@
     bool busy() const { return busy_; }
     // Time for which the append on its way has waited; zero while none does.
     Duration stalled(Instant now) const { return busy_ ? now - begunAt_ : Duration::zero(); }
+    // Sending time of the last call that was answered with success: no other owner had begun by then.
+    Instant confirmedAt() const { return confirmedAt_; }
     void stop() { *alive_ = false; }
 
 private:
@@ -38,6 +40,7 @@
     std::string bytes_;
     std::function<void()> done_;
     Instant begunAt_ {};
+    Instant confirmedAt_ {};
     bool busy_ = false;
 };
 
--- a/shallotdrift/src/Node/WorkerLinks.cpp
+++ b/shallotdrift/src/Node/WorkerLinks.cpp
@@ -10,6 +10,8 @@
 static constexpr Milliseconds answerTime { 600 };
 static constexpr Milliseconds orderTime { 700 };
 static constexpr Milliseconds retryTime { 150 };
+// A call with ends that are not stored yet is answered at once.
+static constexpr Milliseconds unstoredHoldInterval { 800 };
 
 WorkerLinks::WorkerLinks(NodeContext& context, ServiceScheduler& scheduler, uint64_t token, Events events)
     : context_(context)
@@ -94,8 +96,11 @@
     if (link->calling || found == scheduler_.workers().end())
         return;
     auto& worker = found->second;
-    if (worker.noted != link->durable)
-        return; // setDurable() goes on when the ends are stored
+    // setDurable() goes on when the ends are stored; while the store is away only the lease is kept up.
+    auto askedAt = BootClock::now();
+    if (worker.noted != link->durable && askedAt - link->heldAt < unstoredHoldInterval)
+        return;
+    link->heldAt = askedAt;
     platform::HoldRequest request { link->worker, token_, link->durable, std::nullopt, Milliseconds { 0 } };
     if (worker.lease.hasClock() && !worker.silent && events_.mayExtendLeases())
         request.leaseEnd = leaseEnd(worker);
@@ -104,7 +109,6 @@
     }
     link->calling = true;
     ++context_.counters.holdsSent;
-    auto askedAt = BootClock::now();
     context_.workers.send(link->address, platform::holdCall(request), request.wait + answerTime,
         [this, alive = alive_, link, askedAt](HttpOutcome&& outcome) {
             if (!*alive)
--- a/shallotdrift/src/Node/WorkerLinks.h
+++ b/shallotdrift/src/Node/WorkerLinks.h
@@ -39,6 +39,7 @@
         std::string worker;
         std::string address;
         uint64_t durable = 0; // ends up to this number are stored
+        Instant heldAt {}; // when the last call was sent
         bool calling = false;
         bool failing = false;
         std::unique_ptr<asio::steady_timer> timer;
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -152,6 +152,7 @@
     CPPUNIT_TEST(unansweredStartsAreStoppedBeforeAnotherRun);
     CPPUNIT_TEST(silentWorkersAreNotWaitedForTwice);
     CPPUNIT_TEST(cancelledJobsStartNothing);
+    CPPUNIT_TEST(lateStartsAreMadeAgain);
     CPPUNIT_TEST(runsThatNobodyWantsAreStopped);
     CPPUNIT_TEST(evacuationsKeepTheBudget);
     CPPUNIT_TEST_SUITE_END();
@@ -300,6 +301,22 @@
         CPPUNIT_ASSERT_EQUAL(2U, again[0].run);
     }
 
+    // Guards against a task that stays placed for ever after its start came too late for its lease (mix 604465624989 of
+    // the Chamber: LOST 25 after an outage of the store).
+    void lateStartsAreMadeAgain()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        bench.add("a", { makeStep(1, 1000) });
+        auto orders = bench.scheduler->plan(bench.now);
+        bench.scheduler->collectRecords(bench.now);
+        CPPUNIT_ASSERT(bench.scheduler->beginStart(orders[0], bench.now));
+        bench.scheduler->onStartAnswer(orders[0], StartRefusal::Late, bench.now);
+        auto again = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, again.size());
+        CPPUNIT_ASSERT_EQUAL(2U, again[0].run);
+    }
+
     // Guards against runs that go on although no job asks for them: started late, of an unknown job, or given up.
     void runsThatNobodyWantsAreStopped()
     {
