Do not take a copied task for running when its first start is answered late

Change: the answer counts only while the task is placed on that worker. Test: copiesSurviveTheAnswerToTheFirstStart, which fails without the change.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -351,7 +351,7 @@
         run->confirmed = true;
         run->confirmedAt = now.steady;
         run->progressAt = now.steady;
-        if (task && task->run == order.run)
+        if (task && task->run == order.run && task->worker == order.worker) // not superseded by a copy
             task->state = TaskState::Running;
         return;
     }
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -152,6 +152,7 @@
     CPPUNIT_TEST(unansweredStartsAreStoppedBeforeAnotherRun);
     CPPUNIT_TEST(silentWorkersAreNotWaitedForTwice);
     CPPUNIT_TEST(cancelledJobsStartNothing);
+    CPPUNIT_TEST(copiesSurviveTheAnswerToTheFirstStart);
     CPPUNIT_TEST(lateStartsAreMadeAgain);
     CPPUNIT_TEST(runsThatNobodyWantsAreStopped);
     CPPUNIT_TEST(evacuationsKeepTheBudget);
@@ -317,6 +318,28 @@
         CPPUNIT_ASSERT_EQUAL(2U, again[0].run);
     }
 
+    // Guards against a task that counts as running without a run: it was copied away from a silent worker, whose answer
+    // came afterwards (mix 189658212218 of Karoo: LOST).
+    void copiesSurviveTheAnswerToTheFirstStart()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        auto step = makeStep(1, 1000);
+        step.copiesAllowed = true;
+        bench.add("a", { step });
+        auto orders = bench.scheduler->plan(bench.now);
+        bench.scheduler->collectRecords(bench.now);
+        CPPUNIT_ASSERT(bench.scheduler->beginStart(orders[0], bench.now));
+        bench.scheduler->markSilent("w1");
+        bench.pass(Milliseconds { 1000 });
+        CPPUNIT_ASSERT(bench.scheduler->plan(bench.now).empty());
+        bench.scheduler->onStartAnswer(orders[0], StartRefusal::None, bench.now);
+        bench.addWorker("w2");
+        auto copy = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, copy.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("w2"), copy[0].worker);
+    }
+
     // Guards against runs that go on although no job asks for them: started late, of an unknown job, or given up.
     void runsThatNobodyWantsAreStopped()
     {
