Give entries one set of replies, and look up replaced workers by instance

Cause: the front and the owner each had their own refusal with Retry-After and status of a missing owner; every change of the registry compared all workers with all entries, 122,000 pairs at 350 workers; three tests repeated a prelude. Change: Replies.h; an index of the newest boot of each instance; SchedulerBench::send(). Behaviour and assertions stay.

--- a/shallotdrift/src/Node/Front.cpp
+++ b/shallotdrift/src/Node/Front.cpp
@@ -1,13 +1,13 @@
 #include "Front.h"
 
 #include "../Base/Logging.h"
+#include "Replies.h"
 
 #include <array>
 #include <fmt/format.h>
 
 namespace shallotdrift::internal {
 
-static constexpr unsigned notOwnerStatus = 421;
 // An owner answers within some 20 ms; without an answer the request is tried again, since it is idempotent by its id.
 static constexpr Milliseconds attemptTime { 900 };
 static constexpr Milliseconds retryTime { 60 };
@@ -17,7 +17,6 @@
 static constexpr Milliseconds queryPatience { 1500 };
 // Kept back from the caller's own time so that the answer still reaches it.
 static constexpr Milliseconds answerReserve { 150 };
-static constexpr unsigned retryAfterSeconds = 1;
 
 struct TypeName {
     OwnerRequest::Type type;
@@ -62,15 +61,6 @@
     return std::nullopt;
 }
 
-static HttpResponse error(unsigned status, std::string_view reason) { return { status, platform::errorBody(reason) }; }
-
-static HttpResponse notRun(std::string_view reason)
-{
-    auto response = error(503, reason);
-    response.headers.push_back({ "Retry-After", std::to_string(retryAfterSeconds) });
-    return response;
-}
-
 void Front::handle(HttpMessage&& message, Reply reply)
 {
     if (platform::isReadyCheck(message)) {
@@ -79,7 +69,7 @@
     }
     ++context_.counters.requests;
     if (!context_.configuration) {
-        reply(notRun("not run: no configuration yet"));
+        reply(notRunReply("not run: no configuration yet"));
         return;
     }
     auto path = std::string_view(message.target).substr(0, message.target.find('?'));
@@ -87,17 +77,17 @@
     if (!queue) {
         logger("front")->info(
             "event=no_queue method={} path={} version={}", message.method, path, context_.configuration->version);
-        reply(error(404, "no such queue"));
+        reply(errorReply(404, "no such queue"));
         return;
     }
     auto job = path.substr(queue->prefix.size());
     auto type = typeOf(message.method, job);
     if (!type) {
-        reply(error(405, "allowed are POST, GET and DELETE"));
+        reply(errorReply(405, "allowed are POST, GET and DELETE"));
         return;
     }
     if (type != OwnerRequest::Type::Count && !platform::isJobId(job)) {
-        reply(error(400, "a job's id has 16 hexadecimal digits"));
+        reply(errorReply(400, "a job's id has 16 hexadecimal digits"));
         return;
     }
     auto timeout = platform::clientTimeout(message, queue->timeout);
@@ -169,7 +159,7 @@
     }
     bool refused = response.status == 503 || response.status == 429;
     if (refused && forwarding->uncertain) // an earlier attempt may still be carried out
-        response = error(504, "the outcome of an earlier attempt is unknown");
+        response = errorReply(504, "the outcome of an earlier attempt is unknown");
     finish(forwarding, std::move(response));
 }
 
@@ -203,8 +193,8 @@
 {
     bool submit = forwarding->request.type == OwnerRequest::Type::Submit;
     finish(forwarding,
-        submit && forwarding->uncertain ? error(504, "the owner of the queue did not answer")
-                                        : notRun("not run: the owner of the queue cannot be reached"));
+        submit && forwarding->uncertain ? errorReply(504, "the owner of the queue did not answer")
+                                        : notRunReply("not run: the owner of the queue cannot be reached"));
 }
 
 void Front::finish(const ForwardingPointer& forwarding, HttpResponse&& response)
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -2,6 +2,7 @@
 
 #include "../Base/Logging.h"
 #include "Membership.h"
+#include "Replies.h"
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
@@ -16,14 +17,6 @@
 // Without a confirmation of the membership for so long no lease is extended: the next owner, which takes over at the
 // earliest when the membership has lapsed, counts on it (LeaseOptions::earlierOwner is the difference).
 static constexpr Milliseconds longestUnconfirmed { 3500 };
-static constexpr unsigned notOwnerStatus = 421;
-
-static HttpResponse refusal(unsigned status, std::string_view reason, unsigned retryAfterSeconds)
-{
-    HttpResponse response { status, platform::errorBody(reason) };
-    response.headers.push_back({ "Retry-After", std::to_string(retryAfterSeconds) });
-    return response;
-}
 
 OwnedPartition::Service::Service(NodeContext& context, const std::string& name, const ServiceSchedulerOptions& options,
     uint64_t token, WorkerLinks::Events events)
@@ -250,7 +243,7 @@
         [&](const Error& error) {
             logger("owner")->info(
                 "request={} event=malformed queue={} reason=\"{}\"", request.job, request.queue, error.message);
-            reply({ 400, platform::errorBody(error.message) });
+            reply(errorReply(400, error.message));
             return std::optional<JobSpec>();
         });
     if (!spec)
@@ -259,7 +252,7 @@
         ++context_.counters.jobsRefused;
         logger("owner")->info("request={} event=refused queue={} reason=store_stalled stalled_ms={}", request.job,
             request.queue, std::chrono::duration_cast<Milliseconds>(writer_.stalled(BootClock::now())).count());
-        reply(refusal(503, "not run: the store does not answer", 1));
+        reply(notRunReply("not run: the store does not answer"));
         return;
     }
     submissions_.push_back({ std::move(request.queue), std::move(request.job), std::move(*spec), std::move(reply) });
@@ -273,7 +266,7 @@
     for (auto& submission : submissions) {
         ++context_.counters.jobsRefused;
         logger("owner")->info("request={} event=refused queue={} reason=not_stored", submission.job, submission.queue);
-        submission.reply(refusal(503, "not run: the store does not answer", 1));
+        submission.reply(notRunReply("not run: the store does not answer"));
     }
 }
 
@@ -285,7 +278,7 @@
         if (!knows(submission.job)) {
             auto queue = context_.configuration->queues.find(submission.queue);
             if (queue == context_.configuration->queues.end()) {
-                submission.reply({ 404, platform::errorBody("no such queue") });
+                submission.reply(errorReply(404, "no such queue"));
                 continue;
             }
             Job job(submission.job, submission.queue, queue->second.service, std::move(submission.spec), wallNow(),
--- /dev/null
+++ b/shallotdrift/src/Node/Replies.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "../Http/HttpServer.h"
+
+#include "platform/Platform.h"
+
+#include <string_view>
+
+namespace shallotdrift::internal {
+
+// Between entry instances: this one does not own the partition, or has not loaded it yet.
+inline constexpr unsigned notOwnerStatus = 421;
+// After a change of owner, or a short outage of the store, a caller's next try succeeds.
+inline constexpr char retryAfterSeconds[] = "1";
+
+inline HttpResponse errorReply(unsigned status, std::string_view reason)
+{
+    return { status, platform::errorBody(reason) };
+}
+
+// For a job that has not run and never will by this request.
+inline HttpResponse notRunReply(std::string_view reason)
+{
+    auto response = errorReply(503, reason);
+    response.headers.push_back({ "Retry-After", retryAfterSeconds });
+    return response;
+}
+
+} // namespace shallotdrift::internal
--- a/shallotdrift/src/Node/WorkerLinks.cpp
+++ b/shallotdrift/src/Node/WorkerLinks.cpp
@@ -42,12 +42,20 @@
 
 void WorkerLinks::loseReplaced(const std::map<std::string, WorkerInfo>& registry)
 {
+    std::map<std::string, const WorkerInfo*> newest; // by instance
+    for (const auto& [id, info] : registry) {
+        auto& known = newest[info.instance];
+        if (!known || info.bootTime > known->bootTime)
+            known = &info;
+    }
     std::vector<std::string> replaced;
-    for (const auto& [id, worker] : scheduler_.workers())
-        if (!worker.info.instance.empty() && (worker.listed || !worker.runs.empty()))
-            for (const auto& [otherId, other] : registry)
-                if (otherId != id && other.instance == worker.info.instance && other.bootTime > worker.info.bootTime)
-                    replaced.push_back(id);
+    for (const auto& [id, worker] : scheduler_.workers()) {
+        if (worker.info.instance.empty() || (!worker.listed && worker.runs.empty()))
+            continue;
+        auto other = newest.find(worker.info.instance);
+        if (other != newest.end() && other->second->id != id && other->second->bootTime > worker.info.bootTime)
+            replaced.push_back(id);
+    }
     for (const auto& id : replaced)
         loseWorker(id);
 }
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -88,14 +88,21 @@
         }
 
         std::vector<StartOrder> plan()
+        {
+            auto orders = send();
+            for (const auto& order : orders)
+                scheduler->onStartAnswer(order, StartRefusal::None, now);
+            return orders;
+        }
+
+        // Stores and sends the planned starts; no answer has come yet.
+        std::vector<StartOrder> send()
         {
             auto orders = scheduler->plan(now);
             for (const auto& record : scheduler->collectRecords(now))
                 store[record.key] = record.value;
-            for (const auto& order : orders) {
+            for (const auto& order : orders)
                 CPPUNIT_ASSERT(scheduler->beginStart(order, now));
-                scheduler->onStartAnswer(order, StartRefusal::None, now);
-            }
             return orders;
         }
 
@@ -279,9 +286,7 @@
         SchedulerBench bench;
         bench.addWorker("w1");
         bench.add("a", { makeStep(1, 1000) });
-        auto orders = bench.scheduler->plan(bench.now);
-        bench.scheduler->collectRecords(bench.now);
-        CPPUNIT_ASSERT(bench.scheduler->beginStart(orders[0], bench.now));
+        auto orders = bench.send();
         bench.scheduler->onStartUnanswered(orders[0], bench.now);
         bench.pass(Milliseconds { 500 });
         auto repeated = bench.scheduler->plan(bench.now);
@@ -309,9 +314,7 @@
         SchedulerBench bench;
         bench.addWorker("w1");
         bench.add("a", { makeStep(1, 1000) });
-        auto orders = bench.scheduler->plan(bench.now);
-        bench.scheduler->collectRecords(bench.now);
-        CPPUNIT_ASSERT(bench.scheduler->beginStart(orders[0], bench.now));
+        auto orders = bench.send();
         bench.scheduler->onStartAnswer(orders[0], StartRefusal::Late, bench.now);
         auto again = bench.plan();
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, again.size());
@@ -327,9 +330,7 @@
         auto step = makeStep(1, 1000);
         step.copiesAllowed = true;
         bench.add("a", { step });
-        auto orders = bench.scheduler->plan(bench.now);
-        bench.scheduler->collectRecords(bench.now);
-        CPPUNIT_ASSERT(bench.scheduler->beginStart(orders[0], bench.now));
+        auto orders = bench.send();
         bench.scheduler->markSilent("w1");
         bench.pass(Milliseconds { 1000 });
         CPPUNIT_ASSERT(bench.scheduler->plan(bench.now).empty());
