--- a/shallotdrift/src/Jobs/Job.cpp
+++ b/shallotdrift/src/Jobs/Job.cpp
@@ -11,6 +11,21 @@
 static constexpr int specLayout = 1;
 static constexpr int stateLayout = 1;
 
+static Milliseconds longestPath(const std::vector<StepSpec>& steps, const Occurrence* occurrence)
+{
+    std::vector<Milliseconds> finish(steps.size());
+    Milliseconds longest { 0 };
+    for (size_t step = 0; step < steps.size(); ++step) {
+        Milliseconds start { 0 };
+        for (uint32_t earlier : steps[step].after)
+            start = std::max(start, finish[earlier]);
+        bool done = occurrence && occurrence->steps[step].remaining == 0;
+        finish[step] = start + (done ? Milliseconds { 0 } : steps[step].estimate);
+        longest = std::max(longest, finish[step]);
+    }
+    return longest;
+}
+
 Job::Job(
     std::string id, std::string queue, std::string service, JobSpec spec, WallTime arrived, uint32_t maximumAttempts)
     : id_(std::move(id))
@@ -19,6 +34,7 @@
     , spec_(std::move(spec))
     , arrived_(arrived)
     , maximumAttempts_(maximumAttempts)
+    , longestChain_(longestPath(spec_.steps, nullptr))
 {
     openDueOccurrences(arrived);
 }
@@ -126,23 +142,6 @@
     return work;
 }
 
-static Milliseconds longestPath(const std::vector<StepSpec>& steps, const Occurrence* occurrence)
-{
-    std::vector<Milliseconds> finish(steps.size());
-    Milliseconds longest { 0 };
-    for (size_t step = 0; step < steps.size(); ++step) {
-        Milliseconds start { 0 };
-        for (uint32_t earlier : steps[step].after)
-            start = std::max(start, finish[earlier]);
-        bool done = occurrence && occurrence->steps[step].remaining == 0;
-        finish[step] = start + (done ? Milliseconds { 0 } : steps[step].estimate);
-        longest = std::max(longest, finish[step]);
-    }
-    return longest;
-}
-
-Milliseconds Job::longestChain() const { return longestPath(spec_.steps, nullptr); }
-
 Milliseconds Job::remainingChain(const Occurrence& occurrence) const { return longestPath(spec_.steps, &occurrence); }
 
 static json encodeStep(const StepSpec& step)
--- a/shallotdrift/src/Jobs/Job.h
+++ b/shallotdrift/src/Jobs/Job.h
@@ -81,7 +81,7 @@
     // Sum of processor time that is left, in core-milliseconds.
     double remainingWork() const;
     // Longest chain of estimates through the steps.
-    Milliseconds longestChain() const;
+    Milliseconds longestChain() const { return longestChain_; }
     Milliseconds remainingChain(const Occurrence&) const;
 
     // Durable forms: the specification never changes; the state is rewritten with each change.
@@ -104,6 +104,7 @@
     JobSpec spec_;
     WallTime arrived_;
     uint32_t maximumAttempts_;
+    Milliseconds longestChain_;
     JobStatus status_ = JobStatus::Active;
     WallTime ended_ {};
     bool begun_ = false;
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -41,6 +41,20 @@
     return capacity;
 }
 
+static bool hasWaitingTask(const Job& job)
+{
+    for (const auto& [number, occurrence] : job.open())
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            bool waiting = occurrence.steps[step].remaining != 0
+                && std::any_of(
+                    tasks.begin(), tasks.end(), [](const JobTask& task) { return task.state == TaskState::Waiting; });
+            if (waiting && job.stepReady(occurrence, step))
+                return true;
+        }
+    return false;
+}
+
 // Lasting tasks first, since they earn all the time; then by priority and objective. Jobs past their objective come
 // last: they earn little, and running them first would make the others late as well.
 std::vector<Job*> ServiceScheduler::jobsInOrder(const Now& now)
@@ -54,7 +68,7 @@
     };
     std::vector<Rank> ranks;
     for (auto& [id, job] : jobs_) {
-        if (!job.active())
+        if (!job.active() || !hasWaitingTask(job))
             continue;
         auto queue = queues_.find(job.queue());
         auto objective = objectiveOf(job);
@@ -181,48 +195,69 @@
     return true;
 }
 
-void ServiceScheduler::placeJob(
-    Job& job, std::vector<Worker*>& workers, std::vector<StartOrder>& orders, const Now& now)
+bool ServiceScheduler::Candidates::isTooLarge(const Resources& needed) const
+{
+    return std::any_of(
+        tooLarge.begin(), tooLarge.end(), [&](const Resources& smaller) { return smaller.fitsIn(needed); });
+}
+
+void ServiceScheduler::placeStep(Job& job, Occurrence& occurrence, uint32_t step, Candidates& candidates,
+    std::vector<StartOrder>& orders, const Now& now)
+{
+    const auto& spec = job.spec().steps[step];
+    auto& tasks = occurrence.steps[step].tasks;
+    if (spec.gang) {
+        bool waiting = std::all_of(tasks.begin(), tasks.end(),
+            [&](const JobTask& task) { return task.state == TaskState::Waiting && task.notBefore <= now.steady; });
+        if (waiting)
+            placeGang(job, occurrence, step, candidates.workers, orders);
+        return;
+    }
+    // Only where the room decides alone does one failure speak for others.
+    bool plain = !spec.fillsIdle && spec.requiredLabel.empty() && spec.maximumPerWorker == 0;
+    if (plain && candidates.isTooLarge(spec.each))
+        return;
+    for (uint32_t index = 0; index < tasks.size(); ++index) {
+        auto& task = tasks[index];
+        if (task.state != TaskState::Waiting || task.notBefore > now.steady)
+            continue;
+        auto* worker = choose(job, occurrence, step, candidates.workers);
+        if (!worker) {
+            if (plain)
+                candidates.tooLarge.push_back(spec.each);
+            return;
+        }
+        TaskId id { job.id(), occurrence.number, step, index };
+        assign(*worker, id, task, spec, task.run + 1);
+        orders.push_back(orderFor(job, id, task));
+    }
+}
+
+void ServiceScheduler::placeJob(Job& job, Candidates& candidates, std::vector<StartOrder>& orders, const Now& now)
 {
     size_t before = orders.size();
     for (auto& [number, occurrence] : job.open())
-        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
-            if (occurrence.steps[step].remaining == 0 || !job.stepReady(occurrence, step))
-                continue;
-            const auto& spec = job.spec().steps[step];
-            auto& tasks = occurrence.steps[step].tasks;
-            if (spec.gang) {
-                bool waiting = std::all_of(tasks.begin(), tasks.end(), [&](const JobTask& task) {
-                    return task.state == TaskState::Waiting && task.notBefore <= now.steady;
-                });
-                if (waiting)
-                    placeGang(job, occurrence, step, workers, orders);
-                continue;
-            }
-            for (uint32_t index = 0; index < tasks.size(); ++index) {
-                auto& task = tasks[index];
-                if (task.state != TaskState::Waiting || task.notBefore > now.steady)
-                    continue;
-                auto* worker = choose(job, occurrence, step, workers);
-                if (!worker)
-                    break;
-                TaskId id { job.id(), number, step, index };
-                assign(*worker, id, task, spec, task.run + 1);
-                orders.push_back(orderFor(job, id, task));
-            }
-        }
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step)
+            if (occurrence.steps[step].remaining != 0 && job.stepReady(occurrence, step))
+                placeStep(job, occurrence, step, candidates, orders, now);
     if (orders.size() > before) {
         job.setBegun();
         job.dirty = true;
     }
 }
 
-std::vector<StartOrder> ServiceScheduler::plan(const Now& now)
+// Starts without an answer are sent again with the same number.
+void ServiceScheduler::resendStarts(std::vector<StartOrder>& orders, const Now& now)
 {
-    std::vector<StartOrder> orders;
+    if (!startsUncertain_)
+        return;
+    startsUncertain_ = false;
     for (auto& [workerId, worker] : workers_)
         for (auto& [id, run] : worker.runs) {
-            if (!run.uncertain || run.confirmed || run.stopWanted || run.resendAt > now.steady)
+            if (!run.uncertain || run.confirmed || run.stopWanted)
+                continue;
+            startsUncertain_ = true;
+            if (run.resendAt > now.steady)
                 continue;
             auto* job = find(id.job);
             auto* task = job ? job->find(id) : nullptr;
@@ -232,16 +267,27 @@
             orders.push_back(orderFor(*job, id, *task));
             orders.back().repeated = true;
         }
+}
+
+std::vector<StartOrder> ServiceScheduler::plan(const Now& now)
+{
+    // What it looks for takes at least half a second to show.
+    static constexpr Milliseconds reviewInterval { 50 };
+    std::vector<StartOrder> orders;
+    resendStarts(orders, now);
     for (auto& [id, job] : jobs_)
         if (job.active() && job.hasUnopened())
             job.openDueOccurrences(now.wall);
-    reviewRuns(now);
+    if (now.steady - reviewedAt_ >= reviewInterval) {
+        reviewedAt_ = now.steady;
+        reviewRuns(now);
+    }
     planEvacuations(now);
-    auto workers = usableWorkers(now.steady);
-    if (workers.empty())
+    Candidates candidates { usableWorkers(now.steady), {} };
+    if (candidates.workers.empty())
         return orders;
     for (auto* job : jobsInOrder(now))
-        placeJob(*job, workers, orders, now);
+        placeJob(*job, candidates, orders, now);
     return orders;
 }
 
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -167,7 +167,7 @@
     task.atWork = false;
 }
 
-void ServiceScheduler::onReport(
+bool ServiceScheduler::onReport(
     const std::string& workerId, const WorkerReport& report, Instant askedAt, const Now& now)
 {
     auto& worker = workerEntry(workerId, now.steady);
@@ -180,25 +180,26 @@
         worker.info.bootTime = report.bootTime;
     worker.lease.sample(report.clock, now.steady);
     worker.answeredAt = now.steady;
+    bool changed = !worker.reported || worker.silent;
     worker.reported = true;
     worker.silent = false;
 
-    std::set<TaskId> present;
-    for (const auto& row : report.running) {
+    ++worker.reports;
+    for (const auto& row : report.running)
         takeRunning(worker, row, now);
-        present.insert(row.task);
-    }
     for (const auto& row : report.ended)
         if (row.number > worker.noted) {
             takeEnd(worker, row, now);
             worker.noted = row.number;
+            changed = true;
         }
     std::vector<std::pair<TaskId, uint32_t>> absent;
     for (const auto& [id, run] : worker.runs)
-        if (run.confirmed && run.confirmedAt <= askedAt && present.count(id) == 0)
+        if (run.confirmed && run.confirmedAt <= askedAt && run.seenIn != worker.reports)
             absent.emplace_back(id, run.run);
     for (const auto& [id, run] : absent)
         endRun(workerId, id, run, RunEnd::Stopped, {}, now);
+    return changed || !absent.empty() || !outdatedRuns_.empty();
 }
 
 void ServiceScheduler::takeRunning(Worker& worker, const RunningRow& row, const Now& now)
@@ -217,6 +218,7 @@
         found = worker.runs.insert_or_assign(row.task, stray).first;
     }
     auto& run = found->second;
+    run.seenIn = worker.reports;
     if (run.run != row.run) { // an older run of the task, which was given up, has been started late
         outdatedRuns_.push_back({ worker.info.id, row.task, row.run, true });
         return;
@@ -382,6 +384,7 @@
         return;
     run->uncertain = true;
     run->resendAt = now.steady + options_.stopRepeat;
+    startsUncertain_ = true;
 }
 
 // From now on the worker refuses the run if it is not there, so lists that are asked for later settle it.
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -86,6 +86,7 @@
         uint32_t pace = 100; // percent that was ordered last
         Instant paceChanged {};
         Instant calmSince {}; // serving tasks: since when the tail has been well below its target
+        uint64_t seenIn = 0; // number of the last report that lists it as running
     };
 
     explicit Worker(WorkerLease initial)
@@ -98,6 +99,7 @@
     std::map<TaskId, Run> runs; // everything that may be running there
     Resources used;
     uint64_t noted = 0; // the ends up to this number are part of the state
+    uint64_t reports = 0; // counts the reports
     bool listed = true; // the registry names it
     bool reported = false; // its lists have been read since this process became the owner
     bool silent = false; // the last call to it got no answer
@@ -147,7 +149,8 @@
     std::map<std::string, Worker>& workers() { return workers_; }
     const std::map<std::string, Worker>& workers() const { return workers_; }
     // The lists of a worker, asked for at this moment. Runs that should not be there are stopped with the next orders.
-    void onReport(const std::string& worker, const WorkerReport&, Instant askedAt, const Now&);
+    // True when there may be something new to place or to store.
+    bool onReport(const std::string& worker, const WorkerReport&, Instant askedAt, const Now&);
     // To be asked before an order is sent. False when the state no longer asks for it, for example because its job was
     // cancelled while the record was being stored; the run is then taken back.
     bool beginStart(const StartOrder&, const Now&);
@@ -221,7 +224,16 @@
     void reviewRuns(const Now&);
     void copyElsewhere(Worker&, const Now&);
     void planEvacuations(const Now&);
-    void placeJob(Job&, std::vector<Worker*>&, std::vector<StartOrder>&, const Now&);
+    // The workers of one planning, and the sizes of tasks for which none of them has had room.
+    struct Candidates {
+        std::vector<Worker*> workers;
+        std::vector<Resources> tooLarge;
+        // A task that asks for at least as much as one that did not fit need not be tried.
+        bool isTooLarge(const Resources&) const;
+    };
+    void resendStarts(std::vector<StartOrder>&, const Now&);
+    void placeJob(Job&, Candidates&, std::vector<StartOrder>&, const Now&);
+    void placeStep(Job&, Occurrence&, uint32_t step, Candidates&, std::vector<StartOrder>&, const Now&);
     bool placeGang(Job&, Occurrence&, uint32_t step, std::vector<Worker*>&, std::vector<StartOrder>&);
     Worker* choose(const Job&, const Occurrence&, uint32_t step, const std::vector<Worker*>&) const;
     StartOrder orderFor(const Job&, const TaskId&, const JobTask&) const;
@@ -243,6 +255,8 @@
     std::map<std::string, std::string> cordons_; // instance -> service to which it is on its way
     std::set<std::string> maintenanceDue_; // instances
     Instant cordonsUntil_ {};
+    bool startsUncertain_ = false; // some start may have to be sent again
+    Instant reviewedAt_ {};
 };
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Node/WorkerLinks.cpp
+++ b/shallotdrift/src/Node/WorkerLinks.cpp
@@ -63,8 +63,11 @@
 std::map<std::string, uint64_t> WorkerLinks::notedEnds() const
 {
     std::map<std::string, uint64_t> noted;
-    for (const auto& [id, worker] : scheduler_.workers())
-        noted[id] = worker.noted;
+    for (const auto& [id, worker] : scheduler_.workers()) {
+        auto link = links_.find(id);
+        if (link != links_.end() && link->second->durable != worker.noted)
+            noted[id] = worker.noted;
+    }
     return noted;
 }
 
@@ -136,11 +139,12 @@
         link->failing = false;
         logJoined(link->worker);
         context_.counters.runsEnded += answer.report.ended.size();
-        scheduler_.onReport(link->worker, answer.report, askedAt, currentTime());
+        bool changed = scheduler_.onReport(link->worker, answer.report, askedAt, currentTime());
         auto found = scheduler_.workers().find(link->worker);
         if (found != scheduler_.workers().end() && found->second.noted < link->durable)
             link->durable = 0; // the same id after a restart counts from 1 again
-        events_.changed();
+        if (changed)
+            events_.changed();
         if (*alive_)
             hold(link);
         return;
