Keep services off instances that are too small to own them

Cause: on the grown Chamber the owner of the quick checks was an instance with a link of 10 Mbit/s.

Change: the settings take the instance's processor share and link from the platform; below 0.2 of a core or 50 Mbit/s it is a reserve. Reserves serve callers, and join the group of owners only when no other member has answered them for 2.5 s; they withdraw when one answers again.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -16,6 +16,7 @@
 
 base_of() { echo $((port + 100 + 10 * $1)); }
 
+# start_entry N [LINE ...]: further lines of its settings.
 start_entry() {
   base=$(base_of "$1")
   cat >"$directory/entry$1.ini" <<INI
@@ -31,8 +32,11 @@
 [instances]
 address = 127.0.0.1:$((port + 1))
 INI
-  build/shallotdrift node --settings="$directory/entry$1.ini" >>"$directory/entry$1.log" 2>&1 &
-  eval "entry$1=$!"
+  number=$1
+  shift
+  for line in "$@"; do echo "$line" >>"$directory/entry$number.ini"; done
+  build/shallotdrift node --settings="$directory/entry$number.ini" >>"$directory/entry$number.log" 2>&1 &
+  eval "entry$number=$!"
   pids="$pids $!"
 }
 
--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -4,6 +4,7 @@
 #include "../Base/Logging.h"
 
 #include <fmt/format.h>
+#include <set>
 
 namespace shallotdrift::internal {
 
@@ -17,6 +18,15 @@
 // service stands still at a planned stop. A call counts as a tenth of others.
 static constexpr Milliseconds joinInterval { 250 };
 
+// Marks the names of reserves.
+static constexpr std::string_view reserveSuffix = ".reserve";
+// Without an answer of a primary member for so long, a reserve joins: the time after which the store gives the
+// partitions of lost members away, and a probe.
+static constexpr Milliseconds primaryPatience { 2500 };
+static constexpr Milliseconds probeTime { 400 };
+static constexpr Milliseconds probeInterval { 500 }; // while none answers
+static constexpr char probeTarget[] = "/alive"; // any answer counts
+
 uint32_t partitionOf(const std::string& service, uint32_t partitions)
 {
     // Partition 0 is that of the instances' manager.
@@ -28,7 +38,8 @@
 // The address alone would let a restarted process pass for its predecessor and inherit its fencing token.
 static std::string memberName(const NodeSettings& settings)
 {
-    return fmt::format("{}:{}-{:x}", settings.ip, settings.firstInternalPort, unixMilliseconds(wallNow()));
+    return fmt::format("{}:{}-{:x}{}", settings.ip, settings.firstInternalPort, unixMilliseconds(wallNow()),
+        settings.isReserve() ? reserveSuffix : std::string_view());
 }
 
 Membership::Membership(NodeContext& context, Events events)
@@ -42,15 +53,69 @@
 
 void Membership::start()
 {
-    join();
+    joined_ = !context_.settings.isReserve();
+    primarySeenAt_ = BootClock::now();
+    if (joined_)
+        join();
     pollOwners();
 }
 
+static bool isReserve(const std::string& member)
+{
+    return member.size() > reserveSuffix.size()
+        && member.compare(member.size() - reserveSuffix.size(), reserveSuffix.size(), reserveSuffix) == 0;
+}
+
+// The store may list members that are gone until another one joins, so reserves ask them in turn.
+void Membership::probePrimaries()
+{
+    std::set<std::string> primaries;
+    for (const auto& [partition, member] : owners_)
+        if (!isReserve(member))
+            primaries.insert(member);
+    if (primaries.empty())
+        return;
+    auto member = *std::next(primaries.begin(), static_cast<std::ptrdiff_t>(probes_++ % primaries.size()));
+    context_.peers.send(member.substr(0, member.rfind('-')), { "GET", probeTarget, {}, {}, {} }, probeTime,
+        [this](HttpOutcome&& outcome) {
+            if (!outcome.answered)
+                return;
+            primarySeenAt_ = BootClock::now();
+            if (joined_ && !leaving_)
+                withdraw();
+        });
+}
+
+void Membership::decideAsReserve()
+{
+    if (leaving_)
+        return;
+    probePrimaries();
+    if (joined_ || BootClock::now() - primarySeenAt_ < primaryPatience)
+        return;
+    logger("node")->warn(
+        "event=reserve_joins cpu_share={} link_mbps={}", context_.settings.cpuShare, context_.settings.linkMegabits);
+    joined_ = true;
+    join();
+}
+
+void Membership::withdraw()
+{
+    logger("node")->info("event=reserve_withdraws partitions={}", owned_.size());
+    joined_ = false;
+    joinTimer_.cancel();
+    auto owned = std::move(owned_);
+    owned_.clear();
+    for (uint32_t partition : owned)
+        events_.lost(partition);
+    context_.store.call(platform::leaveCall(membership_), callTime, [](const std::optional<HttpMessage>&) {});
+}
+
 void Membership::later(Milliseconds time)
 {
     joinTimer_.expires_after(time);
     joinTimer_.async_wait([this](std::error_code error) {
-        if (!error && !leaving_)
+        if (!error && !leaving_ && joined_)
             join();
     });
 }
@@ -59,7 +124,7 @@
 {
     auto askedAt = BootClock::now();
     context_.store.call(platform::joinCall(membership_), callTime, [this, askedAt](std::optional<HttpMessage> message) {
-        if (leaving_)
+        if (leaving_ || !joined_)
             return;
         auto answer = message ? platform::readJoin(*message) : platform::JoinAnswer {};
         if (answer.status != platform::StoreStatus::Ok) {
@@ -119,7 +184,13 @@
 void Membership::pollOwners()
 {
     refreshOwners();
-    ownersTimer_.expires_after(ownersInterval);
+    auto interval = ownersInterval;
+    if (context_.settings.isReserve()) {
+        decideAsReserve();
+        if (BootClock::now() - primarySeenAt_ > ownersInterval)
+            interval = probeInterval;
+    }
+    ownersTimer_.expires_after(interval);
     ownersTimer_.async_wait([this](std::error_code error) {
         if (!error)
             pollOwners();
--- a/shallotdrift/src/Node/Membership.h
+++ b/shallotdrift/src/Node/Membership.h
@@ -7,7 +7,8 @@
 
 namespace shallotdrift::internal {
 
-// This entry instance's place in the group that divides the partitions, and who owns the others.
+// This entry instance's place in the group that divides the partitions, and who owns the others. An instance that is too
+// small to be an owner in a flood (a reserve) joins only while no other member answers.
 class Membership {
 public:
     struct Events {
@@ -32,6 +33,9 @@
 
 private:
     void join();
+    void probePrimaries();
+    void decideAsReserve();
+    void withdraw();
     void later(Milliseconds);
     void take(const platform::JoinAnswer&);
     void pollOwners();
@@ -47,6 +51,9 @@
     bool ownersKnown_ = false;
     bool refreshing_ = false;
     bool leaving_ = false;
+    bool joined_ = false; // takes part in the group
+    Instant primarySeenAt_ {}; // reserves: when another member that is no reserve last answered
+    size_t probes_ = 0;
 };
 
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Settings/NodeSettings.cpp
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -40,6 +40,20 @@
                     "an entry that is silent for so long loses its partitions to others" },
             },
             required },
+        { "machine",
+            {
+                { "cpu_share", &S::cpuShare, F::fraction(0, 1000), optional,
+                    "share of a core that the instance has; 0 when it is not known" },
+                { "link_mbps", &S::linkMegabits, F::fraction(0, 1000000), optional,
+                    "speed of its network link in megabits a second; 0 when it is not known" },
+            } },
+        { "ownership",
+            {
+                { "least_cpu_share", &S::leastCpuShare, F::fraction(0, 1000), optional,
+                    "an instance with a smaller share owns partitions only while no other does" },
+                { "least_link_mbps", &S::leastLinkMegabits, F::fraction(0, 1000000), optional,
+                    "an instance with a slower link owns partitions only while no other does" },
+            } },
         { "operators",
             {
                 { "served", &S::operatorsServed, F::yesNo(), optional, "operators can call this entry instance" },
@@ -124,7 +138,8 @@
             internal::readSection(section, table->keys, settings, mistakes);
         else
             mistakes.add(section,
-                "unknown section; known sections are [node], [store], [operators], [instances], [planning], [advice] "
+                "unknown section; known sections are [node], [store], [machine], [ownership], [operators], "
+                "[instances], [planning], [advice] "
                 "and [bounds]");
     }
     for (const auto& table : tables)
--- a/shallotdrift/src/Settings/NodeSettings.h
+++ b/shallotdrift/src/Settings/NodeSettings.h
@@ -25,6 +25,19 @@
     uint32_t storePartitions = 24;
     Milliseconds membershipTime { 2000 }; // without a sign of life for so long, an entry loses its partitions
 
+    // [machine]: what the instance has; 0 when it is not known
+    double cpuShare = 0; // of a core
+    double linkMegabits = 0; // a second
+
+    // [ownership]: an instance with less owns partitions only while no other does
+    double leastCpuShare = 0.2; // of a core: a flood of a service takes 0.15
+    double leastLinkMegabits = 50; // a second: starts with their payloads take 25 in a flood
+
+    bool isReserve() const
+    {
+        return (cpuShare > 0 && cpuShare < leastCpuShare) || (linkMegabits > 0 && linkMegabits < leastLinkMegabits);
+    }
+
     // [operators]: either all three files or none
     bool operatorsServed = true;
     std::string operatorAddress; // empty: the third internal port on the loopback address
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(mistakesAreReportedTogether);
     CPPUNIT_TEST(malformedTextIsReportedByLine);
     CPPUNIT_TEST(hostileBytesAreRefused);
+    CPPUNIT_TEST(smallInstancesAreReserves);
     CPPUNIT_TEST(samplesAreValid);
     CPPUNIT_TEST(checkConfigReportsFilesAndCommandMistakes);
     CPPUNIT_TEST_SUITE_END();
@@ -120,6 +121,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), messageOf(parseNodeSettings, text));
     }
 
+    // Guards against owners whose link or processor cannot carry a flood, and against fleets that do not state either.
+    void smallInstancesAreReserves()
+    {
+        auto isReserve = [](const std::string& text) {
+            auto settings = parseNodeSettings(validEntry + text, "f.ini");
+            CPPUNIT_ASSERT(settings.has_value());
+            return settings->isReserve();
+        };
+        CPPUNIT_ASSERT(!isReserve(""));
+        CPPUNIT_ASSERT(!isReserve("[machine]\ncpu_share = 0.25\nlink_mbps = 1000\n"));
+        CPPUNIT_ASSERT(isReserve("[machine]\ncpu_share = 0.12\nlink_mbps = 1000\n"));
+        CPPUNIT_ASSERT(isReserve("[machine]\nlink_mbps = 10\n"));
+        CPPUNIT_ASSERT(!isReserve("[machine]\nlink_mbps = 10\n[ownership]\nleast_link_mbps = 5\n"));
+    }
+
     // Guards against samples that fall behind the tables.
     void samplesAreValid()
     {
