Count failures of superseded copies as attempts

Cause: a task that may run twice was copied while its worker was silent; when that worker answered again and listed the first run as failed, the failure was dropped, because the task had a newer run.

Change: the failure counts, and ends the job when it was the last attempt.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -270,11 +270,16 @@
     if (!task || task->state == TaskState::Done)
         return;
     if (task->run != runNumber || task->worker != workerId) {
-        // An earlier copy of a task that may run twice; the first one to end counts.
-        if (end == RunEnd::Done && job->active() && job->spec().steps[id.step].copiesAllowed) {
+        // An earlier copy of a task that may run twice: the first one to end counts, and so does each failure.
+        if (!job->active() || !job->spec().steps[id.step].copiesAllowed)
+            return;
+        if (end == RunEnd::Done) {
             if (auto* newer = findRun(task->worker, id, task->run))
                 newer->stopWanted = true;
             finishTask(*job, id, now);
+        } else if (end == RunEnd::Failed) {
+            job->dirty = true;
+            countFailure(*job, id, *task, now);
         }
         return;
     }
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -160,6 +160,7 @@
     CPPUNIT_TEST(silentWorkersAreNotWaitedForTwice);
     CPPUNIT_TEST(cancelledJobsStartNothing);
     CPPUNIT_TEST(instancesOnTheirWayHereAreUsed);
+    CPPUNIT_TEST(failuresOfCopiesCount);
     CPPUNIT_TEST(copiesSurviveTheAnswerToTheFirstStart);
     CPPUNIT_TEST(lateStartsAreMadeAgain);
     CPPUNIT_TEST(runsThatNobodyWantsAreStopped);
@@ -404,6 +405,29 @@
         CPPUNIT_ASSERT(bench.scheduler->stopsDue(bench.now).empty());
     }
 
+    // Guards against starts beyond the attempts, where a run fails on a silent worker after its task has been copied.
+    void failuresOfCopiesCount()
+    {
+        SchedulerBench bench;
+        bench.addWorker("w1");
+        auto step = makeStep(1, 1000);
+        step.copiesAllowed = true;
+        bench.add("a", { step }, 2);
+        auto first = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, first.size());
+        bench.scheduler->markSilent("w1");
+        bench.pass(Milliseconds { 1000 });
+        bench.addWorker("w2");
+        auto copy = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, copy.size());
+        bench.report("w1", {}, { { 1, first[0].task, first[0].run, RunEnd::Failed, {} } });
+        CPPUNIT_ASSERT(bench.scheduler->statusOf("a") == JobStatus::Active);
+        bench.end(copy[0], RunEnd::Failed);
+        bench.pass(Milliseconds { 5000 });
+        CPPUNIT_ASSERT(bench.plan().empty());
+        CPPUNIT_ASSERT(bench.scheduler->statusOf("a") == JobStatus::Failed);
+    }
+
     // Guards against a new worker that stands idle because the order that brought it here still cordons its instance.
     void instancesOnTheirWayHereAreUsed()
     {
