--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -304,8 +304,10 @@
 void ServiceScheduler::planEvacuations(const Now& now)
 {
     std::vector<Worker*> targets;
+    // A run that the earlier owner has begun to stop is still listed as at work, but counts as away already.
+    bool settled = now.steady >= settledAt_;
     for (auto& [workerId, worker] : workers_) {
-        if (!worker.cordoned && !worker.info.draining)
+        if (!(worker.cordoned && settled) && !worker.info.draining)
             continue;
         if (targets.empty())
             targets = usableWorkers(now.steady);
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -535,6 +535,7 @@
 
 void ServiceScheduler::finishRestore(const Now& now)
 {
+    settledAt_ = takenOver_ + options_.settleTime;
     for (auto& [id, job] : jobs_)
         job.forEachTask([&](const TaskId& taskId, JobTask& task) {
             if (task.worker.empty())
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -32,6 +32,7 @@
     Milliseconds longestFailurePause { 2000 };
     Milliseconds quarantine { 6000 };
     Milliseconds copyAfter { 900 }; // silence of a worker after which tasks that may run twice are copied
+    Milliseconds settleTime { 1200 }; // until the stops that an earlier owner has ordered show in the lists
     Milliseconds lateTime { 8000 }; // within which jobs past their objective are to end
 };
 
@@ -245,6 +246,7 @@
     std::string service_;
     ServiceSchedulerOptions options_;
     Instant takenOver_;
+    Instant settledAt_ {}; // from then on the stops of an earlier owner show in the lists
     std::map<std::string, QueueRule> queues_;
     std::map<std::string, Job> jobs_; // active ones, and ended ones that still have runs to stop
     std::unordered_map<std::string, Ended> ended_;
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -10,6 +10,8 @@
 namespace shallotdrift::internal {
 
 static constexpr Milliseconds shortageLogInterval { 500 };
+// For the way of an order to a worker and of its lists back.
+static constexpr Milliseconds settleMargin { 300 };
 
 static constexpr Milliseconds readTime { 1500 };
 static constexpr Milliseconds retryTime { 200 };
@@ -139,6 +141,7 @@
         ServiceSchedulerOptions options;
         options.lease.maximum = context_.settings.longestLease;
         options.statusKept = context_.settings.statusKept();
+        options.settleTime = context_.settings.stopTime + settleMargin;
         options.lateTime = context_.settings.lateTime;
         options.lease.length = std::min(options.lease.length, options.lease.maximum * 2 / 3);
         entry = std::make_unique<Service>(context_, name, options, token_,
--- a/shallotdrift/src/Settings/NodeSettings.cpp
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -99,6 +99,8 @@
                     "time from the order to maintain an instance until its new worker joins the pool, in seconds" },
                 { "order_pause_ms", &S::orderPause, F::whole(0, 600000, "ms"), optional,
                     "two managers must not order one instance within this time" },
+                { "stop_ms", &S::stopTime, F::whole(0, 600000, "ms"), optional,
+                    "longest time that a worker takes to stop a run" },
             } },
     };
     return sections;
--- a/shallotdrift/src/Settings/NodeSettings.h
+++ b/shallotdrift/src/Settings/NodeSettings.h
@@ -65,6 +65,7 @@
     double stopGraceSeconds = 6;
     double maintenanceSeconds = 2;
     Milliseconds orderPause { 3000 };
+    Milliseconds stopTime { 1000 }; // a worker ends a run within so long after the order
 
     Milliseconds statusKept() const { return inMilliseconds(statusKeptSeconds); }
     Milliseconds stopGrace() const { return inMilliseconds(stopGraceSeconds); }
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -161,6 +161,7 @@
     CPPUNIT_TEST(cancelledJobsStartNothing);
     CPPUNIT_TEST(instancesOnTheirWayHereAreUsed);
     CPPUNIT_TEST(failuresOfCopiesCount);
+    CPPUNIT_TEST(newOwnersWaitForEarlierStops);
     CPPUNIT_TEST(copiesSurviveTheAnswerToTheFirstStart);
     CPPUNIT_TEST(lateStartsAreMadeAgain);
     CPPUNIT_TEST(runsThatNobodyWantsAreStopped);
@@ -405,6 +406,46 @@
         CPPUNIT_ASSERT(bench.scheduler->stopsDue(bench.now).empty());
     }
 
+    // Guards against a second task of a step that leaves while the stop of the first, ordered by the earlier owner, is
+    // under way and does not show yet.
+    void newOwnersWaitForEarlierStops()
+    {
+        SchedulerBench bench;
+        for (const char* id : { "w1", "w2", "w3", "w4" })
+            bench.addWorker(id);
+        auto step = makeStep(2, 1000);
+        step.lasting = true;
+        step.mayMiss = 1;
+        step.maximumPerWorker = 1;
+        bench.add("a", { step });
+        auto orders = bench.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, orders.size());
+        for (const auto& order : orders)
+            bench.report(order.worker, { { order.task, 1, {}, 100, 0 } });
+        auto cordon = [&](const std::string& worker) {
+            bench.scheduler->setCordons({ { "m-" + worker, {} } }, {}, bench.now.steady + Milliseconds { 60000 });
+            bench.plan();
+            return bench.scheduler->stopsDue(bench.now);
+        };
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, cordon(orders[0].worker).size());
+        bench.takeOver();
+        for (const char* id : { "w1", "w2", "w3", "w4" }) {
+            bench.list(id);
+            auto placed = std::find_if(
+                orders.begin(), orders.end(), [&](const StartOrder& order) { return order.worker == id; });
+            if (placed == orders.end())
+                bench.report(id);
+            else
+                bench.report(id, { { placed->task, 1, {}, 100, 0 } }); // also the one that is being stopped
+        }
+        CPPUNIT_ASSERT(cordon(orders[1].worker).empty());
+        Section later("once the earlier stop would show, the task may leave");
+        bench.pass(Milliseconds { 1500 });
+        for (const auto& order : orders)
+            bench.report(order.worker, { { order.task, 1, {}, 100, 0 } });
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, cordon(orders[1].worker).size());
+    }
+
     // Guards against starts beyond the attempts, where a run fails on a silent worker after its task has been copied.
     void failuresOfCopiesCount()
     {
