Keep replaced workers from being listed again

Change: the newest boots are worked out once for a change of the registry, and workers of earlier boots are not listed.

--- a/shallotdrift/src/Node/Membership.h
+++ b/shallotdrift/src/Node/Membership.h
@@ -7,8 +7,8 @@
 
 namespace shallotdrift::internal {
 
-// This entry instance's place in the group that divides the partitions, and who owns the others. An instance that is too
-// small to be an owner in a flood (a reserve) joins only while no other member answers.
+// This entry instance's place in the group that divides the partitions, and who owns the others. An instance that is
+// too small to be an owner in a flood (a reserve) joins only while no other member answers.
 class Membership {
 public:
     struct Events {
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -172,6 +172,7 @@
     if (!active_)
         return;
     auto now = BootClock::now();
+    NewestBoots newest(context_.registry);
     for (auto& [name, entry] : services_) {
         std::vector<std::string> unlisted;
         for (const auto& [id, worker] : entry->scheduler.workers()) {
@@ -181,9 +182,9 @@
         }
         for (const auto& id : unlisted)
             entry->scheduler.unlistWorker(id);
-        entry->links.loseReplaced(context_.registry);
+        entry->links.loseReplaced(newest);
         for (const auto& [id, info] : context_.registry)
-            if (info.service == name)
+            if (info.service == name && !newest.replaced(info))
                 entry->scheduler.updateWorker(info, now);
         entry->links.sync();
     }
--- a/shallotdrift/src/Node/WorkerLinks.cpp
+++ b/shallotdrift/src/Node/WorkerLinks.cpp
@@ -40,23 +40,30 @@
     }
 }
 
-void WorkerLinks::loseReplaced(const std::map<std::string, WorkerInfo>& registry)
+NewestBoots::NewestBoots(const std::map<std::string, WorkerInfo>& registry)
 {
-    std::map<std::string, const WorkerInfo*> newest; // by instance
     for (const auto& [id, info] : registry) {
-        auto& known = newest[info.instance];
+        if (info.instance.empty())
+            continue;
+        auto& known = byInstance_[info.instance];
         if (!known || info.bootTime > known->bootTime)
             known = &info;
     }
-    std::vector<std::string> replaced;
-    for (const auto& [id, worker] : scheduler_.workers()) {
-        if (worker.info.instance.empty() || (!worker.listed && worker.runs.empty()))
-            continue;
-        auto other = newest.find(worker.info.instance);
-        if (other != newest.end() && other->second->id != id && other->second->bootTime > worker.info.bootTime)
-            replaced.push_back(id);
-    }
-    for (const auto& id : replaced)
+}
+
+bool NewestBoots::replaced(const WorkerInfo& worker) const
+{
+    auto newest = byInstance_.find(worker.instance);
+    return newest != byInstance_.end() && newest->second->id != worker.id && newest->second->bootTime > worker.bootTime;
+}
+
+void WorkerLinks::loseReplaced(const NewestBoots& newest)
+{
+    std::vector<std::string> lost;
+    for (const auto& [id, worker] : scheduler_.workers())
+        if ((worker.listed || !worker.runs.empty()) && newest.replaced(worker.info))
+            lost.push_back(id);
+    for (const auto& id : lost)
         loseWorker(id);
 }
 
--- a/shallotdrift/src/Node/WorkerLinks.h
+++ b/shallotdrift/src/Node/WorkerLinks.h
@@ -9,6 +9,17 @@
 
 namespace shallotdrift::internal {
 
+// The latest boot of each instance in the registry, which may go on listing earlier ones.
+class NewestBoots {
+public:
+    explicit NewestBoots(const std::map<std::string, WorkerInfo>& registry);
+    // Another worker has booted on the instance of this one since.
+    bool replaced(const WorkerInfo&) const;
+
+private:
+    std::map<std::string, const WorkerInfo*> byInstance_;
+};
+
 // The owner's calls to the workers of one service: leases and lists are kept up with one waiting call for each worker,
 // orders go beside it.
 class WorkerLinks {
@@ -24,7 +35,7 @@
     // Begins calls to new workers and ends those to workers that are gone.
     void sync();
     // Ends the runs of workers whose instances have started again as other workers.
-    void loseReplaced(const std::map<std::string, WorkerInfo>& registry);
+    void loseReplaced(const NewestBoots&);
     // Numbers of the ends that the scheduler has taken so far, to be confirmed once its records are stored.
     std::map<std::string, uint64_t> notedEnds() const;
     void setDurable(const std::map<std::string, uint64_t>& noted);
