Read back the newest records of a partition in one place

Cause: the loop over the pages of a partition's newest records, with its retries, stood in the owner of a partition and in the manager of the fleet.

Change: RecordReader; both use it.

--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -43,9 +43,14 @@
     , links_(std::move(links))
     , onRefused_(std::move(onRefused))
     , writer_(context, { Membership::topic(), partition }, token, [this] { refused("store"); })
+    , reader_(
+          context, { Membership::topic(), partition }, [this](platform::KeyedRecord&& record) { readRecord(record); },
+          [this] {
+              poll({});
+              exchange();
+          })
     , planner_(plannerOptions(context.settings))
     , desk_(planner_, membership.member())
-    , startTimer_(context.io)
     , pollTimer_(context.io)
     , exchangeTimer_(context.io)
     , statusTimer_(context.io)
@@ -57,7 +62,7 @@
 void FleetManager::start()
 {
     logger("fleet")->info("event=taking token={}", token_);
-    writer_.fence([this] { readPage({}); });
+    writer_.fence([this] { reader_.start(); });
 }
 
 void FleetManager::stop()
@@ -66,6 +71,7 @@
         return;
     *alive_ = false;
     writer_.stop();
+    reader_.stop();
     logger("fleet")->info("event=left token={}", token_);
 }
 
@@ -78,37 +84,6 @@
     });
 }
 
-void FleetManager::retryRead(std::string after)
-{
-    startTimer_.expires_after(retryTime);
-    startTimer_.async_wait([this, alive = alive_, after = std::move(after)](std::error_code error) {
-        if (*alive && !error)
-            readPage(after);
-    });
-}
-
-void FleetManager::readPage(const std::string& after)
-{
-    context_.store.call(platform::newestCall({ Membership::topic(), partition }, after), callTime,
-        [this, alive = alive_, after](std::optional<HttpMessage> message) {
-            if (!*alive)
-                return;
-            auto answer = message ? platform::readNewest(*message) : platform::NewestAnswer {};
-            if (answer.status != platform::StoreStatus::Ok) {
-                retryRead(after);
-                return;
-            }
-            for (const auto& record : answer.records)
-                readRecord(record);
-            if (answer.more && !answer.records.empty()) {
-                readPage(answer.records.back().key);
-                return;
-            }
-            poll({});
-            exchange();
-        });
-}
-
 void FleetManager::readRecord(const platform::KeyedRecord& record)
 {
     auto value = nlohmann::json::parse(record.value, nullptr, false);
--- a/shallotdrift/src/Node/FleetManager.h
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -5,6 +5,7 @@
 #include "Membership.h"
 #include "OperatorLink.h"
 #include "PartitionWriter.h"
+#include "RecordReader.h"
 
 namespace shallotdrift::internal {
 
@@ -30,8 +31,6 @@
     void operate(const std::string& call, const std::string& request, OperatorLink::Reply);
 
 private:
-    void readPage(const std::string& after);
-    void retryRead(std::string after);
     void poll(const std::string& page);
     void pollLater(Milliseconds);
     void exchange();
@@ -52,10 +51,10 @@
     Links links_;
     std::function<void()> onRefused_;
     PartitionWriter writer_;
+    RecordReader reader_;
     InstancePlanner planner_;
     OperatorDesk desk_;
     std::vector<std::function<void()>> repliesAfterStore_; // to operators
-    asio::steady_timer startTimer_;
     asio::steady_timer pollTimer_;
     asio::steady_timer exchangeTimer_;
     asio::steady_timer statusTimer_;
--- a/shallotdrift/src/Node/ForwardDeclarations.h
+++ b/shallotdrift/src/Node/ForwardDeclarations.h
@@ -9,6 +9,7 @@
 class OperatorLink;
 class OwnedPartition;
 class PartitionWriter;
+class RecordReader;
 class RegistryFollower;
 class StoreLink;
 class WorkerLinks;
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -12,9 +12,6 @@
 static constexpr Milliseconds shortageLogInterval { 500 };
 // For the way of an order to a worker and of its lists back.
 static constexpr Milliseconds settleMargin { 300 };
-
-static constexpr Milliseconds readTime { 1500 };
-static constexpr Milliseconds retryTime { 200 };
 static constexpr Milliseconds tickInterval { 100 };
 // Beyond this an append, which takes 5 ms, is held up: new jobs are refused at once instead of waiting for it.
 static constexpr Milliseconds stallLimit { 500 };
@@ -35,6 +32,9 @@
     , token_(token)
     , onRefused_(std::move(onRefused))
     , writer_(context, { Membership::topic(), number }, token, [this] { refused("store"); })
+    , reader_(
+          context, { Membership::topic(), number },
+          [this](platform::KeyedRecord&& record) { takeRecord(std::move(record)); }, [this] { finishLoad(); })
     , timer_(context.io)
 {
 }
@@ -45,7 +45,7 @@
 {
     logger("owner")->info("partition={} event=taking token={}", number_, token_);
     ++context_.counters.partitionsTaken;
-    writer_.fence([this] { readPage({}); });
+    writer_.fence([this] { reader_.start(); });
 }
 
 void OwnedPartition::stop()
@@ -55,6 +55,7 @@
     *alive_ = false;
     active_ = false;
     writer_.stop();
+    reader_.stop();
     timer_.cancel();
     for (auto& [name, service] : services_)
         service->links.stop();
@@ -73,30 +74,10 @@
     });
 }
 
-void OwnedPartition::readPage(const std::string& after)
+void OwnedPartition::takeRecord(platform::KeyedRecord&& record)
 {
-    context_.store.call(platform::newestCall({ Membership::topic(), number_ }, after), readTime,
-        [this, alive = alive_, after](std::optional<HttpMessage> message) {
-            if (!*alive)
-                return;
-            auto answer = message ? platform::readNewest(*message) : platform::NewestAnswer {};
-            if (answer.status != platform::StoreStatus::Ok) {
-                timer_.expires_after(retryTime);
-                timer_.async_wait([this, alive, after](std::error_code error) {
-                    if (*alive && !error)
-                        readPage(after);
-                });
-                return;
-            }
-            for (auto& record : answer.records) {
-                auto& entry = loaded_[ServiceScheduler::jobOfKey(record.key)];
-                (ServiceScheduler::isStateKey(record.key) ? entry.second : entry.first) = std::move(record.value);
-            }
-            if (answer.more && !answer.records.empty())
-                readPage(answer.records.back().key);
-            else
-                finishLoad();
-        });
+    auto& entry = loaded_[ServiceScheduler::jobOfKey(record.key)];
+    (ServiceScheduler::isStateKey(record.key) ? entry.second : entry.first) = std::move(record.value);
 }
 
 void OwnedPartition::finishLoad()
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -2,6 +2,7 @@
 
 #include "../Http/HttpServer.h"
 #include "PartitionWriter.h"
+#include "RecordReader.h"
 #include "WorkerLinks.h"
 
 #include <deque>
@@ -54,7 +55,7 @@
         Reply reply;
     };
 
-    void readPage(const std::string& after);
+    void takeRecord(platform::KeyedRecord&&);
     void finishLoad();
     Service& service(const std::string& name);
     void submit(OwnerRequest&&, Reply);
@@ -76,6 +77,7 @@
     uint64_t token_;
     std::function<void()> onRefused_;
     PartitionWriter writer_;
+    RecordReader reader_;
     Instant loggedAt_ {};
     asio::steady_timer timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/shallotdrift/src/Node/RecordReader.cpp
@@ -0,0 +1,48 @@
+#include "RecordReader.h"
+
+namespace shallotdrift::internal {
+
+// A page holds up to 1 MB, which takes a second on a slow link.
+static constexpr Milliseconds pageTime { 1500 };
+static constexpr Milliseconds retryTime { 200 };
+
+RecordReader::RecordReader(NodeContext& context, platform::Partition partition, Take take, std::function<void()> done)
+    : context_(context)
+    , partition_(std::move(partition))
+    , take_(std::move(take))
+    , done_(std::move(done))
+    , timer_(context.io)
+{
+}
+
+void RecordReader::readPage(const std::string& after)
+{
+    context_.store.call(platform::newestCall(partition_, after), pageTime,
+        [this, alive = alive_, after](std::optional<HttpMessage> message) {
+            if (!*alive)
+                return;
+            auto answer = message ? platform::readNewest(*message) : platform::NewestAnswer {};
+            if (answer.status != platform::StoreStatus::Ok) {
+                retry(after);
+                return;
+            }
+            std::string last = answer.records.empty() ? std::string() : answer.records.back().key;
+            for (auto& record : answer.records)
+                take_(std::move(record));
+            if (answer.more && !last.empty())
+                readPage(last);
+            else
+                done_();
+        });
+}
+
+void RecordReader::retry(const std::string& after)
+{
+    timer_.expires_after(retryTime);
+    timer_.async_wait([this, alive = alive_, after](std::error_code error) {
+        if (*alive && !error)
+            readPage(after);
+    });
+}
+
+} // namespace shallotdrift::internal
