Name the address of a member and the look for a standby pool once

Cause: two places of the membership cut the address out of a member's name, and two checks of directives looked through the pools for one that is switched off, each with its own copy.

Change: addressOf() and hasStandby(). Behaviour is the same.

--- a/shallotdrift/src/Instances/FleetDirectives.cpp
+++ b/shallotdrift/src/Instances/FleetDirectives.cpp
@@ -22,6 +22,11 @@
     return pool != pools.end() && pool->second.standby;
 }
 
+static bool hasStandby(const std::map<std::string, PoolRule>& pools)
+{
+    return std::any_of(pools.begin(), pools.end(), [](const auto& entry) { return entry.second.standby; });
+}
+
 FleetDirectives::Verdict FleetDirectives::checkLoan(const PoolLoan& loan, const InstancePlanner& planner) const
 {
     const auto& pools = planner.pools();
@@ -92,8 +97,7 @@
     const Selection& selection, bool wave, const InstancePlanner& planner) const
 {
     const auto& pools = planner.pools();
-    bool standby = std::any_of(pools.begin(), pools.end(), [](const auto& entry) { return entry.second.standby; });
-    if (wave && !standby)
+    if (wave && !hasStandby(pools))
         return { ResultCode::WrongState, "no pool is switched off, so instances cannot be taken out and brought back" };
     for (const auto& id : selection.instances)
         if (planner.instances().count(id) == 0)
@@ -155,7 +159,7 @@
 void FleetDirectives::observe(const InstancePlanner& planner)
 {
     const auto& pools = planner.pools();
-    bool standby = std::any_of(pools.begin(), pools.end(), [](const auto& entry) { return entry.second.standby; });
+    bool standby = hasStandby(pools);
     for (auto& [id, drain] : drains_)
         for (const auto& name : drain.instances) {
             if (drain.done.count(name) != 0)
--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -60,6 +60,9 @@
     pollOwners();
 }
 
+// The part of a member's name before its boot.
+static std::string addressOf(const std::string& member) { return member.substr(0, member.rfind('-')); }
+
 static bool isReserve(const std::string& member)
 {
     return member.size() > reserveSuffix.size()
@@ -76,8 +79,8 @@
     if (primaries.empty())
         return;
     auto member = *std::next(primaries.begin(), static_cast<std::ptrdiff_t>(probes_++ % primaries.size()));
-    context_.peers.send(member.substr(0, member.rfind('-')), { "GET", probeTarget, {}, {}, {} }, probeTime,
-        [this](HttpOutcome&& outcome) {
+    context_.peers.send(
+        addressOf(member), { "GET", probeTarget, {}, {}, {} }, probeTime, [this](HttpOutcome&& outcome) {
             if (!outcome.answered)
                 return;
             primarySeenAt_ = BootClock::now();
@@ -178,7 +181,7 @@
 std::string Membership::ownerAddress(uint32_t partition) const
 {
     auto found = owners_.find(partition);
-    return found == owners_.end() ? std::string() : found->second.substr(0, found->second.rfind('-'));
+    return found == owners_.end() ? std::string() : addressOf(found->second);
 }
 
 void Membership::pollOwners()
