--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,8 +1,6 @@
 #include "shallotdrift/Base.h"
-#include "shallotdrift/Entry.h"
 #include "shallotdrift/Node.h"
 #include "shallotdrift/Operators.h"
-#include "shallotdrift/Replay.h"
 #include "shallotdrift/Settings.h"
 
 #include <gflags/gflags.h>
@@ -16,7 +14,7 @@
 #include <vector>
 
 DEFINE_string(settings, "", "settings file of the entry instance (INI)");
-DEFINE_string(entries, "127.0.0.1:7300", "operator addresses of entry instances, separated by commas, tried in order");
+DEFINE_string(entries, "127.0.0.1:7302", "operator addresses of entry instances, separated by commas, tried in order");
 DEFINE_string(operator_name, "", "name of the operator; under TLS the certificate's common name counts");
 DEFINE_string(change_id, "", "id of the change; give the printed one again to repeat a change whose answer was lost");
 DEFINE_string(reason, "", "reason of the change, kept in the audit trail");
@@ -42,26 +40,12 @@
     return parts;
 }
 
-int runEntryCommand(const Words&)
+int runNodeCommand(const Words&)
 {
     if (FLAGS_settings.empty()) {
-        std::cerr << "entry needs --settings=FILE\n";
+        std::cerr << "node needs --settings=FILE\n";
         return exitMistake;
     }
-    return handleError(
-        []() -> Result<int> {
-            BOOST_LEAF_AUTO(settings, readEntrySettings(FLAGS_settings));
-            setLogLevel(settings.logLevel);
-            return runEntry(settings);
-        },
-        [](const Error& error) {
-            std::cerr << error.message << "\n";
-            return exitMistake;
-        });
-}
-
-int runNodeCommand(const Words&)
-{
     return handleError(
         []() -> Result<int> {
             BOOST_LEAF_AUTO(settings, readNodeSettings(FLAGS_settings));
@@ -94,19 +78,15 @@
 int printCodes(const Words&)
 {
     for (const auto& info : resultCodeTable())
-        std::cout << static_cast<unsigned>(info.code) << "\t" << nameOf(info.execution) << "\t" << info.name << "\t"
-                  << info.text << "\n";
+        std::cout << static_cast<unsigned>(info.code) << "\t" << info.name << "\t" << info.text << "\n";
     return 0;
 }
 
 const char* usage()
 {
     return "shallotdrift COMMAND [FLAGS]\n"
-           "  entry --settings=FILE               run an entry instance\n"
-           "  node --settings=FILE                run an entry instance on the users' platform\n"
-           "  check-config FILE ...               check settings, configurations and handbook entries\n"
-           "  replay --trace=FILE                 replay a trace through the decision core\n"
-           "  generate-trace --scenario=NAME      write a trace\n"
+           "  node --settings=FILE                run an entry instance\n"
+           "  check-config FILE ...               check settings and handbook entries\n"
            "  codes                               list the result codes\n";
 }
 
@@ -139,7 +119,6 @@
 const std::map<std::string, std::function<int(const Words&)>>& commands()
 {
     static const std::map<std::string, std::function<int(const Words&)>> table {
-        { "entry", runEntryCommand },
         { "node", runNodeCommand },
         { "codes", printCodes },
         { "help", printHelp },
@@ -147,14 +126,6 @@
             [](const Words& words) {
                 return exitStatusOf(runCheckConfigCommand(withoutFirst(words), std::cout, std::cerr));
             } },
-        { "replay",
-            [](const Words& words) {
-                return exitStatusOf(runReplayCommand(withoutFirst(words), std::cout, std::cerr));
-            } },
-        { "generate-trace",
-            [](const Words& words) {
-                return exitStatusOf(runGenerateCommand(withoutFirst(words), std::cout, std::cerr));
-            } },
     };
     return table;
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,98 +1,73 @@
-# Functions that run a fleet of processes on loopback; sourced by scripts/demo and the process tests.
-# The caller sets `directory` (for settings, logs and journals) and may set `base_port`.
-
-program=build/shallotdrift
-standin=build/shallotdrift-standin
-base_port=${base_port:-17000}
+# Functions that run the stand-in of the users' platform and entry instances on loopback; sourced by scripts/demo and
+# test/processes/users. The caller sets `directory` (settings and logs) and `port` (the platform's; entry N has the ports
+# from port + 100 + 10 * N).
 pids=""
 
-port() { echo $((base_port + $1)); }
-
-# Addresses 127.0.0.1:PORT of all entries, separated by commas, for a block of ports.
-addresses() {
-  list=""
-  entry=0
-  while [ $entry -lt "${entries:-8}" ]; do
-    list="$list,127.0.0.1:$(port $(($1 + entry)))"
-    entry=$((entry + 1))
-  done
-  echo "${list#,}"
+stop_fleet() {
+  for pid in $pids; do kill "$pid" 2>/dev/null; done
+  wait 2>/dev/null
+  pids=""
 }
-caller_addresses() { addresses 0; }
-operator_addresses() { addresses 40; }
 
-# Starts a process in the background and remembers it as pid_NAME.
-start() {
-  name=$1
-  shift
-  "$@" >>"$directory/$name.log" 2>&1 &
+start_platform() {
+  build/shallotdrift-standin users --users_port="$port" >"$directory/platform.log" 2>&1 &
   pids="$pids $!"
-  eval "pid_$(echo "$name" | tr '-' '_')=$!"
 }
 
-pid_of() { eval "echo \$pid_$(echo "$1" | tr '-' '_')"; }
+base_of() { echo $((port + 100 + 10 * $1)); }
 
-lay_out_fleet() {
-  $standin fleet "--fleet_configuration=samples/chamber/fleet.ini" "--fleet_directory=$directory" \
-    "--fleet_base_port=$base_port" "$@"
+start_entry() {
+  base=$(base_of "$1")
+  cat >"$directory/entry$1.ini" <<INI
+[node]
+name = entry-$1
+zone = a
+ip = 127.0.0.1
+caller_address = 127.0.0.1:$base
+ready_address = 127.0.0.1:$((base + 1))
+first_internal_port = $((base + 2))
+[store]
+address = 127.0.0.1:$port
+[instances]
+address = 127.0.0.1:$((port + 1))
+INI
+  build/shallotdrift node --settings="$directory/entry$1.ini" >>"$directory/entry$1.log" 2>&1 &
+  eval "entry$1=$!"
+  pids="$pids $!"
 }
 
-start_platform() {
-  start platform $standin platform "--platform_listen=127.0.0.1:$(port 80)" "--platform_fleet=$directory/fleet.json" "$@"
-}
+ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(($(base_of "$1") + 1))/shallotdrift/ready")" = 200 ]; }
 
-start_targets() {
-  for zone in ba-a ba-b ba-c ba-d; do
-    start "targets-$zone" $standin targets "--targets_fleet=$directory/fleet.json" "--targets_zone=$zone" \
-      "--targets_journal=$directory/targets-$zone.jsonl"
+# Repeats a command for up to N seconds until it succeeds.
+within() {
+  end=$(($(date +%s) + $1))
+  shift
+  until "$@"; do
+    [ "$(date +%s)" -lt $end ] || return 1
+    sleep 0.1
   done
 }
 
-start_entry() { start "entry-$1" $program entry "--settings=$directory/entry-$1.ini"; }
-
-start_entries() {
-  for number in $(seq 1 "${entries:-8}"); do start_entry "$number"; done
+caller() { echo "http://127.0.0.1:$(base_of "$1")"; }
+job_id() { printf '%016x' "$1"; }
+# post ENTRY ID: prints the status.
+post() {
+  curl -s -o /dev/null -m 5 -w '%{http_code}' -X POST "$(caller "$1")/render/$2" -H 'Host: reports.example' -d \
+    '{"Spec":"work=150","Steps":[{"Count":3,"Cpu":1000,"MemMb":10,"EstimatedMs":150},{"Count":2,"Cpu":1000,"MemMb":10,"EstimatedMs":150,"After":[0]}]}'
 }
-
-# Waits until a page of the metrics port of an entry answers with success.
-wait_ready() {
-  tries=0
-  until curl -sf -o /dev/null "http://127.0.0.1:$(port $((59 + $1)))/ready"; do
-    tries=$((tries + 1))
-    [ $tries -lt "${2:-300}" ] || { echo "entry-$1 is not ready"; return 1; }
-    sleep 0.1
-  done
+is_posted() { [ "$(post "$1" "$2")" = 200 ]; }
+# Posts a job at an entry until it is accepted.
+accepted() { within 10 is_posted "$1" "$(job_id "$2")"; }
+state() { curl -s -m 5 "$(caller "$1")/render/$2" -H 'Host: reports.example'; }
+is_state() { [ "$(state "$1" "$2")" = "{\"State\":\"$3\"}" ]; }
+all_completed() {
+  for number in $(seq 1 "$1"); do is_state 1 "$(job_id "$number")" completed || return 1; done
 }
 
+# operate OPERATOR COMMAND ...: runs a command at the entries 2 and 1.
 operate() {
   who=$1
   shift
-  $program "$@" "--operator_name=$who" "--entries=$(operator_addresses)"
-}
-
-propose_configuration() {
-  tries=0
-  until operate luis config propose --file=samples/chamber/fleet.ini --expected=0 --reviewer=ana \
-    --reason="first configuration" --change_id=first-configuration >"$directory/configuration.log" 2>&1; do
-    tries=$((tries + 1))
-    [ $tries -lt 50 ] || { cat "$directory/configuration.log"; return 1; }
-    sleep 0.2
-  done
-}
-
-start_fleet() {
-  start_platform
-  start_targets
-  start_entries
-  propose_configuration || return 1
-  for number in $(seq 1 "${entries:-8}"); do wait_ready "$number" || return 1; done
-}
-
-# Ends every process that was started here, frozen ones too.
-stop_fleet() {
-  for pid in $pids; do kill -CONT "$pid" 2>/dev/null || true; kill -TERM "$pid" 2>/dev/null || true; done
-  sleep 0.5
-  for pid in $pids; do kill -KILL "$pid" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-  pids=""
+  build/shallotdrift "$@" "--operator_name=$who" \
+    "--entries=127.0.0.1:$(($(base_of 2) + 4)),127.0.0.1:$(($(base_of 1) + 4))"
 }
--- a/shallotdrift/Base.h
+++ b/shallotdrift/Base.h
@@ -1,7 +1,6 @@
-// Base module: result codes, errors, clocks, the bounded ring, log prefixes and digests.
+// Base module: result codes, errors, clocks, the log and digests.
 #pragma once
 
-#include "src/Base/BoundedRing.h"
 #include "src/Base/Digest.h"
 #include "src/Base/Error.h"
 #include "src/Base/Logging.h"
--- a/shallotdrift/Operators.h
+++ b/shallotdrift/Operators.h
@@ -1,6 +1,7 @@
-// Operators module: the gRPC service for operators and the commands that call it.
+// Operators module: the desk that decides on operators' changes, the gRPC service, and the commands that call it.
 #pragma once
 
+#include "src/Operators/OperatorBackend.h"
 #include "src/Operators/OperatorCommands.h"
-#include "src/Operators/OperatorHandler.h"
+#include "src/Operators/OperatorDesk.h"
 #include "src/Operators/OperatorServer.h"
--- /dev/null
+++ b/shallotdrift/src/Instances/FleetDirectives.cpp
@@ -0,0 +1,232 @@
+#include "FleetDirectives.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace shallotdrift {
+
+using nlohmann::json;
+
+// They name the records among those of jobs, whose ids have hexadecimal digits only.
+static constexpr std::string_view loanPrefix = "loan/";
+static constexpr std::string_view drainPrefix = "drain/";
+// Part of the selected instances that a wave or drain empties at once unless the operator states a number.
+static constexpr size_t shareAtOnce = 4;
+
+static std::string keyOf(std::string_view prefix, const std::string& id) { return std::string(prefix) + id; }
+
+static bool isStandby(const std::map<std::string, PoolRule>& pools, const std::string& name)
+{
+    auto pool = pools.find(name);
+    return pool != pools.end() && pool->second.standby;
+}
+
+FleetDirectives::Verdict FleetDirectives::checkLoan(const PoolLoan& loan, const InstancePlanner& planner) const
+{
+    const auto& pools = planner.pools();
+    for (const auto& name : { loan.fromPool, loan.toPool })
+        if (!name.empty() && pools.count(name) == 0)
+            return { ResultCode::NotFound, "there is no pool " + name };
+    if (loan.toPool.empty() || loan.fromPool == loan.toPool || isStandby(pools, loan.toPool))
+        return { ResultCode::InvalidCommand, "the pool that borrows has to be in service and not the one that lends" };
+    if (loan.count == 0)
+        return { ResultCode::InvalidCommand, "the count has to be at least 1" };
+    size_t spare = 0;
+    for (const auto& [id, instance] : planner.instances())
+        if (isStandby(pools, instance.pool) && instance.state == FleetInstance::State::Up)
+            ++spare;
+    bool anyPool = loan.fromPool.empty() || isStandby(pools, loan.fromPool);
+    size_t lendable = 0;
+    for (const auto& pool : planner.view())
+        if (pool.name != loan.toPool && (anyPool || pool.name == loan.fromPool) && pool.size > pool.least)
+            lendable += pool.size - pool.least;
+    size_t available = lendable + (anyPool ? spare : 0);
+    if (available < loan.count)
+        return { ResultCode::BudgetExceeded,
+            fmt::format("{} instances can be lent: {} switched off, {} beyond what lasting tasks need", available,
+                anyPool ? spare : 0, lendable) };
+    return {};
+}
+
+FleetDirectives::Verdict FleetDirectives::lend(const PoolLoan& loan, const InstancePlanner& planner)
+{
+    auto verdict = checkLoan(loan, planner);
+    if (verdict.code != ResultCode::Ok)
+        return verdict;
+    loans_[loan.id] = loan;
+    changed_.insert(keyOf(loanPrefix, loan.id));
+    return {};
+}
+
+FleetDirectives::Verdict FleetDirectives::returnLent(const std::string& pool)
+{
+    size_t returned = 0;
+    for (auto loan = loans_.begin(); loan != loans_.end();) {
+        bool ends = pool.empty() || loan->second.toPool == pool;
+        if (ends) {
+            changed_.insert(keyOf(loanPrefix, loan->first));
+            ++returned;
+        }
+        loan = ends ? loans_.erase(loan) : std::next(loan);
+    }
+    if (returned == 0)
+        return { ResultCode::NothingToDo, "no instance is lent" };
+    return { ResultCode::Ok, fmt::format("{} loans ended", returned) };
+}
+
+std::set<std::string> FleetDirectives::select(const Selection& selection, const InstancePlanner& planner)
+{
+    std::set<std::string> selected;
+    for (const auto& [id, instance] : planner.instances()) {
+        bool named = selection.instances.empty()
+            || std::find(selection.instances.begin(), selection.instances.end(), id) != selection.instances.end();
+        if (named && (selection.pool.empty() || instance.pool == selection.pool)
+            && (selection.zone.empty() || instance.zone == selection.zone))
+            selected.insert(id);
+    }
+    return selected;
+}
+
+FleetDirectives::Verdict FleetDirectives::checkDrain(
+    const Selection& selection, bool wave, const InstancePlanner& planner) const
+{
+    const auto& pools = planner.pools();
+    bool standby = std::any_of(pools.begin(), pools.end(), [](const auto& entry) { return entry.second.standby; });
+    if (wave && !standby)
+        return { ResultCode::WrongState, "no pool is switched off, so instances cannot be taken out and brought back" };
+    for (const auto& id : selection.instances)
+        if (planner.instances().count(id) == 0)
+            return { ResultCode::NotFound, "there is no instance " + id };
+    auto selected = select(selection, planner);
+    if (selected.empty())
+        return { ResultCode::NothingToDo, "no instance is selected" };
+    for (const auto& [id, other] : drains_)
+        for (const auto& instance : other.instances)
+            if (!other.over() && selected.count(instance) != 0)
+                return { ResultCode::Conflict, fmt::format("instance {} belongs to {} already", instance, id) };
+    if (!wave) {
+        auto out = outOfService();
+        out.insert(selected.begin(), selected.end());
+        auto left = static_cast<size_t>(
+            std::count_if(planner.instances().begin(), planner.instances().end(), [&](const auto& entry) {
+                return entry.second.state != FleetInstance::State::Down && out.count(entry.first) == 0;
+            }));
+        size_t least = 0;
+        for (const auto& pool : planner.view())
+            least += isStandby(pools, pool.name) ? 0 : pool.least;
+        if (left < least)
+            return { ResultCode::BudgetExceeded,
+                fmt::format("{} instances would be left, lasting tasks need {}", left, least) };
+    }
+    return { ResultCode::Ok, fmt::format("{} instances", selected.size()) };
+}
+
+FleetDirectives::Verdict FleetDirectives::drain(const std::string& id, const Selection& selection, bool wave,
+    uint32_t maximumAtOnce, const InstancePlanner& planner)
+{
+    auto verdict = checkDrain(selection, wave, planner);
+    if (verdict.code != ResultCode::Ok)
+        return verdict;
+    auto& drain = drains_[id];
+    drain.id = id;
+    drain.instances = select(selection, planner);
+    drain.maximumAtOnce = maximumAtOnce != 0
+        ? maximumAtOnce
+        : std::max<uint32_t>(1, static_cast<uint32_t>(drain.instances.size() / shareAtOnce));
+    drain.wave = wave;
+    changed_.insert(keyOf(drainPrefix, id));
+    return verdict;
+}
+
+FleetDirectives::Verdict FleetDirectives::changeWave(const std::string& id, WaveChange change)
+{
+    auto found = drains_.find(id);
+    if (found == drains_.end())
+        return { ResultCode::NotFound, "there is no wave or drain " + id };
+    changed_.insert(keyOf(drainPrefix, id));
+    if (change == WaveChange::Abort)
+        drains_.erase(found);
+    else
+        found->second.paused = change == WaveChange::Pause;
+    return {};
+}
+
+void FleetDirectives::observe(const InstancePlanner& planner)
+{
+    const auto& pools = planner.pools();
+    bool standby = std::any_of(pools.begin(), pools.end(), [](const auto& entry) { return entry.second.standby; });
+    for (auto& [id, drain] : drains_)
+        for (const auto& name : drain.instances) {
+            if (drain.done.count(name) != 0)
+                continue;
+            auto instance = planner.instances().find(name);
+            bool done = instance == planner.instances().end()
+                || (standby ? isStandby(pools, instance->second.pool) : planner.isEmpty(instance->second));
+            if (!done)
+                continue;
+            drain.done.insert(name);
+            changed_.insert(keyOf(drainPrefix, id));
+        }
+}
+
+std::set<std::string> FleetDirectives::outOfService() const
+{
+    std::set<std::string> out;
+    for (const auto& [id, drain] : drains_) {
+        uint32_t underWay = 0;
+        for (const auto& name : drain.instances)
+            if (drain.done.count(name) != 0 ? !drain.wave : !drain.paused && underWay++ < drain.maximumAtOnce)
+                out.insert(name);
+    }
+    return out;
+}
+
+std::vector<PoolLoan> FleetDirectives::loans() const
+{
+    std::vector<PoolLoan> loans;
+    for (const auto& [id, loan] : loans_)
+        loans.push_back(loan);
+    return loans;
+}
+
+std::vector<FleetDirectives::Record> FleetDirectives::takeRecords()
+{
+    std::vector<Record> records;
+    for (const auto& key : changed_) {
+        auto slash = key.find('/') + 1;
+        auto id = key.substr(slash);
+        std::string value;
+        if (auto loan = loans_.find(id); key.compare(0, slash, loanPrefix) == 0 && loan != loans_.end())
+            value = json::array({ loan->second.fromPool, loan->second.toPool, loan->second.count }).dump();
+        if (auto drain = drains_.find(id); key.compare(0, slash, drainPrefix) == 0 && drain != drains_.end())
+            value = json::array({ drain->second.instances, drain->second.done, drain->second.maximumAtOnce,
+                                    drain->second.wave, drain->second.paused })
+                        .dump();
+        records.emplace_back(key, std::move(value));
+    }
+    changed_.clear();
+    return records;
+}
+
+bool FleetDirectives::restore(const std::string& key, const std::string& value)
+{
+    bool loan = key.compare(0, loanPrefix.size(), loanPrefix) == 0;
+    bool drain = key.compare(0, drainPrefix.size(), drainPrefix) == 0;
+    if (!loan && !drain)
+        return false;
+    auto id = key.substr(key.find('/') + 1);
+    try {
+        auto row = json::parse(value);
+        if (loan)
+            loans_[id] = { id, row.at(0).get<std::string>(), row.at(1).get<std::string>(), row.at(2).get<uint32_t>() };
+        else
+            drains_[id] = { id, row.at(0).get<std::set<std::string>>(), row.at(1).get<std::set<std::string>>(),
+                row.at(2).get<uint32_t>(), row.at(3).get<bool>(), row.at(4).get<bool>() };
+    } catch (const json::exception&) {
+        return false; // logged by the caller with the key
+    }
+    return true;
+}
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Instances/InstancePlanner.cpp
+++ b/shallotdrift/src/Instances/InstancePlanner.cpp
@@ -48,13 +48,31 @@
 {
     std::vector<PoolView> views;
     for (const auto& [name, pool] : state_)
-        views.push_back({ name, pool.size, pool.want, pool.report });
+        views.push_back({ name, pool.size, pool.want, pool.least, pool.report });
     return views;
 }
 
+std::vector<InstancePlanner::WaveView> InstancePlanner::waves() const
+{
+    std::vector<WaveView> views;
+    for (const auto& [number, wave] : waves_)
+        if (wave.rule.number != 0)
+            views.push_back({ number, wave.rule.instances.size(), wave.done.size(), wave.completed });
+    return views;
+}
+
+bool InstancePlanner::isEmpty(const FleetInstance& instance) const
+{
+    auto rule = pools_.find(instance.pool);
+    if (rule != pools_.end() && rule->second.standby)
+        return true;
+    const auto* load = loadOf(instance);
+    return load && load->cordoned && load->runs == 0;
+}
+
 std::set<std::string> InstancePlanner::cordons() const
 {
-    std::set<std::string> cordons;
+    std::set<std::string> cordons = outOfService_;
     for (const auto& [id, intent] : intents_)
         cordons.insert(id);
     return cordons;
@@ -148,7 +166,8 @@
         bool counts = instance.state == FleetInstance::State::Moving
             || (instance.state == FleetInstance::State::Maintenance
                 && (!leaves || intent->second.order.type == InstanceOrder::Type::Maintain))
-            || (instance.state == FleetInstance::State::Up && !leaves && !(load && load->draining));
+            || (instance.state == FleetInstance::State::Up && !leaves && !(load && load->draining)
+                && outOfService_.count(id) == 0);
         if (counts)
             ++state_[instance.pool].size;
         else if (leaves && intent->second.order.type == InstanceOrder::Type::Move)
@@ -172,6 +191,35 @@
     }
 }
 
+void InstancePlanner::applyLoans()
+{
+    for (const auto& loan : loans_) {
+        auto to = state_.find(loan.toPool);
+        if (to == state_.end())
+            continue;
+        to->second.want += loan.count;
+        if (auto from = state_.find(loan.fromPool); from != state_.end()) {
+            auto& pool = from->second;
+            pool.want = pool.want > pool.least + loan.count ? pool.want - loan.count : std::min(pool.want, pool.least);
+        }
+    }
+}
+
+// Instances that operators take out of service are emptied and switched off.
+void InstancePlanner::planOutOfService(Instant now)
+{
+    for (const auto& id : outOfService_) {
+        auto instance = instances_.find(id);
+        if (instance == instances_.end() || instance->second.state != FleetInstance::State::Up
+            || intents_.count(id) != 0)
+            continue;
+        auto rule = pools_.find(instance->second.pool);
+        auto standby = standbyPool(instance->second);
+        if (rule != pools_.end() && !rule->second.standby && !standby.empty())
+            intents_[id] = { { InstanceOrder::Type::Move, id, standby, 0 }, now, std::nullopt };
+    }
+}
+
 void InstancePlanner::forgetOldIntents(Instant now)
 {
     for (auto item = intents_.begin(); item != intents_.end();) {
@@ -194,7 +242,9 @@
 {
     forgetOldIntents(now);
     measure(now);
+    applyLoans();
     shareScarceInstances();
+    planOutOfService(now);
     planWaves(now);
     planGrowth(now);
     planShrinking(now);
@@ -371,7 +421,7 @@
     for (auto item = intents_.begin(); item != intents_.end() && pool.size < pool.want;) {
         auto instance = instances_.find(item->first);
         bool ours = !item->second.orderedAt && item->second.order.type == InstanceOrder::Type::Move
-            && instance != instances_.end() && instance->second.pool == name;
+            && instance != instances_.end() && instance->second.pool == name && outOfService_.count(item->first) == 0;
         if (ours) {
             auto target = state_.find(item->second.order.pool);
             if (target != state_.end() && target->second.size > 0)
@@ -390,7 +440,8 @@
             return;
         auto rule = pools_.find(instance.pool);
         if (rule == pools_.end() || rule->second.standby != switchedOff || instance.pool == name
-            || instance.state != FleetInstance::State::Up || intents_.count(id) != 0 || !mayJoin(instance, name))
+            || instance.state != FleetInstance::State::Up || intents_.count(id) != 0 || outOfService_.count(id) != 0
+            || !mayJoin(instance, name))
             continue;
         if (!switchedOff) {
             const auto* load = loadOf(instance);
@@ -413,7 +464,7 @@
         return nullptr;
     for (const auto& [id, instance] : instances_) {
         if (instance.pool != pool || instance.state != FleetInstance::State::Up || intents_.count(id) != 0
-            || !mayJoin(instance, target))
+            || outOfService_.count(id) != 0 || !mayJoin(instance, target))
             continue;
         const auto* load = loadOf(instance);
         if (!load || load->draining || load->lastingRuns > 0 || (best && load->runs >= bestRuns))
--- a/shallotdrift/src/Instances/InstancePlanner.h
+++ b/shallotdrift/src/Instances/InstancePlanner.h
@@ -19,10 +19,19 @@
     std::string pool {};
     State state = State::Down;
     std::string kind {};
+    std::string zone {};
     std::string rack {};
     double cores = 0;
 };
 
+// Instances that operators want one pool to have beyond its own need.
+struct PoolLoan {
+    std::string id {}; // of the change that asked for it
+    std::string fromPool {}; // empty: from any pool
+    std::string toPool {};
+    uint32_t count = 0;
+};
+
 // What the owner of a service reports of its pool.
 struct PoolReport {
     struct WorkerLoad {
@@ -92,6 +101,10 @@
     // Instances of the wave that are done, as an earlier manager has stored them.
     void restoreDone(uint64_t wave, const std::set<std::string>& instances);
 
+    void setLoans(std::vector<PoolLoan> loans) { loans_ = std::move(loans); }
+    // Instances that are to be emptied and switched off, and stay so until they are left out here.
+    void setOutOfService(std::set<std::string> instances) { outOfService_ = std::move(instances); }
+
     // An earlier manager has given orders for the instance; this one gives none before the time.
     void rest(const std::string& instance, Instant until) { resting_[instance] = until; }
 
@@ -113,9 +126,21 @@
         std::string name;
         size_t size = 0; // instances that are there or on their way
         size_t want = 0;
+        size_t least = 0; // of the wanted instances, those for lasting tasks
         PoolReport report;
     };
     std::vector<PoolView> view() const;
+    const std::map<std::string, FleetInstance>& instances() const { return instances_; }
+    const std::map<std::string, PoolRule>& pools() const { return pools_; }
+    struct WaveView {
+        uint64_t number = 0;
+        size_t instances = 0;
+        size_t done = 0;
+        bool completed = false;
+    };
+    std::vector<WaveView> waves() const;
+    // Nothing runs on the instance: it is switched off, or its owner reports it cordoned and empty.
+    bool isEmpty(const FleetInstance&) const;
 
 private:
     struct Intent {
@@ -146,6 +171,8 @@
     void measure(Instant now);
     double expectedRate(Pool&, Instant now) const;
     void forgetOldIntents(Instant now);
+    void applyLoans();
+    void planOutOfService(Instant now);
     void shareScarceInstances();
     void planWaves(Instant now);
     void planGrowth(Instant now);
@@ -163,6 +190,8 @@
     std::map<std::string, Pool> state_; // by pool
     std::map<std::string, Intent> intents_; // by instance
     std::map<std::string, Instant> resting_;
+    std::vector<PoolLoan> loans_;
+    std::set<std::string> outOfService_;
     bool demandSeen_ = false;
     std::map<uint64_t, Wave> waves_;
     std::set<std::pair<std::string, std::string>> impossible_; // kind, pool
--- /dev/null
+++ b/shallotdrift/src/Jobs/JobReport.cpp
@@ -0,0 +1,55 @@
+#include "JobReport.h"
+
+#include <array>
+#include <fmt/format.h>
+
+namespace shallotdrift {
+
+static std::string taskText(const TaskId& id, const JobTask& task)
+{
+    static constexpr std::array<const char*, 4> states { "waiting", "placed", "running", "done" };
+    auto text = fmt::format("task {}.{}.{}: {}, run {}, {} failures", id.occurrence, id.step, id.index,
+        states[static_cast<size_t>(task.state)], task.run, task.failures);
+    if (!task.worker.empty())
+        text += ", worker " + task.worker;
+    if (!task.checkpoint.empty())
+        text += ", has a checkpoint";
+    return text;
+}
+
+std::vector<std::string> describeJob(const Job& job)
+{
+    static constexpr std::array<const char*, 4> statuses { "active", "completed", "failed", "cancelled" };
+    // An operator reads them on a terminal.
+    static constexpr size_t listedTasks = 100;
+    std::vector<std::string> facts;
+    if (job.spec().steps.empty()) {
+        facts.push_back(fmt::format("{}, ended at {} ms of Unix time; its specification is not kept after that",
+            statuses[static_cast<size_t>(job.status())], unixMilliseconds(job.ended())));
+        return facts;
+    }
+    facts.push_back(fmt::format("queue {}, service {}, {}, accepted at {} ms of Unix time{}", job.queue(),
+        job.service(), statuses[static_cast<size_t>(job.status())], unixMilliseconds(job.arrived()),
+        job.active() ? std::string() : fmt::format(", ended at {} ms", unixMilliseconds(job.ended()))));
+    facts.push_back(fmt::format("{} steps, {} occurrences, longest chain {} ms, at most {} attempts a task",
+        job.spec().steps.size(), job.occurrenceCount(), job.longestChain().count(), job.maximumAttempts()));
+    size_t done = 0;
+    size_t untouched = 0;
+    std::vector<std::string> tasks;
+    for (const auto& [number, occurrence] : job.open())
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step)
+            for (uint32_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
+                const auto& task = occurrence.steps[step].tasks[index];
+                if (task.state == TaskState::Done)
+                    ++done;
+                else if (task.run == 0)
+                    ++untouched;
+                else if (tasks.size() < listedTasks)
+                    tasks.push_back(taskText({ job.id(), number, step, index }, task));
+            }
+    facts.push_back(fmt::format("of the open occurrences {} tasks are done, {} have not been placed", done, untouched));
+    facts.insert(facts.end(), tasks.begin(), tasks.end());
+    return facts;
+}
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Node/FleetExchange.h
+++ b/shallotdrift/src/Node/FleetExchange.h
@@ -5,6 +5,9 @@
 
 namespace shallotdrift::internal {
 
+// The manager's request to the owners, between entry instances.
+inline constexpr char fleetTarget[] = "/fleet";
+
 // What the manager of the instances and the owners of services tell each other: which instances are to be emptied, and
 // what runs in the pools.
 std::string encodeCordons(const std::set<std::string>& cordoned, const std::set<std::string>& maintenanceDue);
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -44,6 +44,7 @@
     , onRefused_(std::move(onRefused))
     , writer_(context, { Membership::topic(), partition }, token, [this] { refused("store"); })
     , planner_(plannerOptions(context.settings))
+    , desk_(planner_, membership.member())
     , startTimer_(context.io)
     , pollTimer_(context.io)
     , exchangeTimer_(context.io)
@@ -121,6 +122,8 @@
         auto number = parseNumber(record.key.substr(std::string_view(waveRecordPrefix).size()), UINT64_MAX);
         if (number)
             planner_.restoreDone(*number, value.get<std::set<std::string>>());
+    } else if (!desk_.restore(record.key, record.value)) {
+        logger("fleet")->warn("event=record_unreadable key={}", record.key);
     }
 }
 
@@ -143,6 +146,7 @@
     instance.pool = info.pool;
     instance.state = static_cast<FleetInstance::State>(info.state);
     instance.kind = info.labels.empty() ? std::string() : info.labels.front();
+    instance.zone = info.zone;
     instance.rack = info.rack;
     instance.cores = static_cast<double>(info.capacity.milliCores) / 1000;
     return instance;
@@ -199,7 +203,7 @@
         for (auto& report : decodeReports(links_.exchangeHere(cordons), sentAt))
             planner_.setReport(std::move(report));
     for (const auto& address : addresses)
-        context_.peers.send(address, { "POST", "/fleet", {}, cordons, "application/json" }, exchangeTime,
+        context_.peers.send(address, { "POST", fleetTarget, {}, cordons, "application/json" }, exchangeTime,
             [this, alive = alive_, sentAt](HttpOutcome&& outcome) {
                 if (!*alive || !outcome.answered || outcome.answer.status != 200)
                     return;
@@ -225,6 +229,7 @@
     planner_.setPools(std::move(pools));
     for (const auto& [number, wave] : links_.waves())
         planner_.addWave({ number, wave.instances, wave.maximumAtOnce, now + wave.duration });
+    followDirectives();
     if (!writer_.busy())
         giveOrders(planner_.plan(now));
     logPools(now);
@@ -233,6 +238,29 @@
     announce();
 }
 
+void FleetManager::followDirectives()
+{
+    desk_.setConfigurationVersion(context_.configuration->version);
+    desk_.observe();
+    planner_.setLoans(desk_.directives().loans());
+    planner_.setOutOfService(desk_.directives().outOfService());
+}
+
+void FleetManager::operate(const std::string& call, const std::string& request, OperatorLink::Reply reply)
+{
+    auto answer = listed_ && context_.configuration ? desk_.handle(call, request, wallNow()) : std::nullopt;
+    if (!answer) {
+        reply(std::nullopt);
+        return;
+    }
+    if (!answer->waitsForStore) {
+        reply(std::move(answer->reply));
+        return;
+    }
+    logger("fleet")->info("event=change call={} token={}", call, token_);
+    repliesAfterStore_.emplace_back([reply = std::move(reply), bytes = std::move(answer->reply)] { reply(bytes); });
+}
+
 void FleetManager::logPools(Instant now)
 {
     if (now - loggedAt_ < logInterval)
@@ -293,6 +321,8 @@
     for (uint64_t wave : changedWaves_)
         records.push_back({ waveRecordPrefix + std::to_string(wave), nlohmann::json(planner_.done(wave)).dump() });
     changedWaves_.clear();
+    for (auto& [key, value] : desk_.takeRecords())
+        records.push_back({ std::move(key), std::move(value) });
     return records;
 }
 
@@ -311,12 +341,18 @@
             recent[instance] = unixMilliseconds(at);
         records.push_back({ ordersRecord, recent.dump() });
     }
-    if (records.empty())
-        return;
-    writer_.append(records, [this, orders] {
+    auto replies = std::make_shared<std::vector<std::function<void()>>>(std::move(repliesAfterStore_));
+    repliesAfterStore_.clear();
+    auto proceed = [this, orders, replies] {
+        for (const auto& reply : *replies)
+            reply();
         for (const auto& next : orders)
             order(next);
-    });
+    };
+    if (records.empty())
+        proceed(); // a repeated change is stored already
+    else
+        writer_.append(records, proceed);
 }
 
 void FleetManager::announce()
--- a/shallotdrift/src/Node/FleetManager.h
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -1,13 +1,15 @@
 #pragma once
 
 #include "../Instances/InstancePlanner.h"
+#include "../Operators/OperatorDesk.h"
 #include "Membership.h"
+#include "OperatorLink.h"
 #include "PartitionWriter.h"
 
 namespace shallotdrift::internal {
 
-// The one that moves and maintains instances: the owner of the fleet's partition. What must outlast it is the list of
-// instances that a wave has maintained.
+// The one that moves and maintains instances and answers operators: the owner of the fleet's partition. What must
+// outlast it are the lists of instances that a wave has maintained, and what operators have changed.
 class FleetManager : public std::enable_shared_from_this<FleetManager> {
 public:
     struct Links {
@@ -23,6 +25,10 @@
     void start();
     void stop();
 
+    // A call of an operator; see OperatorDesk. The reply is empty while the fleet is not known yet, and for a call that
+    // does not exist.
+    void operate(const std::string& call, const std::string& request, OperatorLink::Reply);
+
 private:
     void readPage(const std::string& after);
     void retryRead(std::string after);
@@ -33,6 +39,7 @@
     void logPools(Instant now);
     void order(const InstanceOrder&);
     void giveOrders(const std::vector<InstanceOrder>&);
+    void followDirectives();
     std::vector<StateRecord> changedRecords();
     Milliseconds restAfterOrder() const;
     void readRecord(const platform::KeyedRecord&);
@@ -46,6 +53,8 @@
     std::function<void()> onRefused_;
     PartitionWriter writer_;
     InstancePlanner planner_;
+    OperatorDesk desk_;
+    std::vector<std::function<void()>> repliesAfterStore_; // to operators
     asio::steady_timer startTimer_;
     asio::steady_timer pollTimer_;
     asio::steady_timer exchangeTimer_;
--- a/shallotdrift/src/Node/ForwardDeclarations.h
+++ b/shallotdrift/src/Node/ForwardDeclarations.h
@@ -3,8 +3,10 @@
 namespace shallotdrift::internal {
 
 class ConfigurationFollower;
+class FleetManager;
 class Front;
 class Membership;
+class OperatorLink;
 class OwnedPartition;
 class PartitionWriter;
 class RegistryFollower;
--- a/shallotdrift/src/Node/Front.cpp
+++ b/shallotdrift/src/Node/Front.cpp
@@ -29,11 +29,10 @@
 
 static const TypeName& nameOf(OwnerRequest::Type type) { return typeNames[static_cast<size_t>(type)]; }
 
-Front::Front(NodeContext& context, Membership& membership, FindOwned findOwned, ExchangeFleet exchangeFleet)
+Front::Front(NodeContext& context, Membership& membership, FindOwned findOwned)
     : context_(context)
     , membership_(membership)
     , findOwned_(std::move(findOwned))
-    , exchangeFleet_(std::move(exchangeFleet))
 {
 }
 
@@ -210,13 +209,9 @@
     reply(std::move(response));
 }
 
-// "/fleet", or "/owner/PARTITION/QUEUE/JOB"; the job is empty for a count.
+// "/owner/PARTITION/QUEUE/JOB"; the job is empty for a count.
 void Front::handlePeer(HttpMessage&& message, Reply reply)
 {
-    if (message.target == "/fleet") {
-        reply({ 200, exchangeFleet_(message.body) });
-        return;
-    }
     std::array<std::string_view, 4> parts;
     std::string_view rest = std::string_view(message.target).substr(1);
     for (auto& part : parts) {
--- a/shallotdrift/src/Node/Front.h
+++ b/shallotdrift/src/Node/Front.h
@@ -11,9 +11,7 @@
     using Reply = HttpServer::Reply;
     using FindOwned = std::function<OwnedPartition*(uint32_t partition)>;
 
-    using ExchangeFleet = std::function<std::string(const std::string& cordons)>;
-
-    Front(NodeContext&, Membership&, FindOwned, ExchangeFleet);
+    Front(NodeContext&, Membership&, FindOwned);
 
     // A request of a caller, or of the platform's check of readiness.
     void handle(HttpMessage&&, Reply);
@@ -52,7 +50,6 @@
     NodeContext& context_;
     Membership& membership_;
     FindOwned findOwned_;
-    ExchangeFleet exchangeFleet_;
 };
 
 } // namespace shallotdrift::internal
--- /dev/null
+++ b/shallotdrift/src/Node/OperatorLink.cpp
@@ -0,0 +1,184 @@
+#include "OperatorLink.h"
+
+#include "../Jobs/JobReport.h"
+#include "FleetManager.h"
+
+#include <asio/post.hpp>
+#include <fmt/format.h>
+#include <future>
+#include <operator.pb.h>
+
+namespace shallotdrift::internal {
+
+static constexpr std::string_view peerPrefix = "/operators/";
+static constexpr std::string_view jobSubject = "job ";
+static constexpr Milliseconds attemptTime { 1500 };
+static constexpr Milliseconds retryTime { 200 };
+
+OperatorLink::OperatorLink(NodeContext& context, Membership& membership, ManagerHere managerHere)
+    : context_(context)
+    , membership_(membership)
+    , managerHere_(std::move(managerHere))
+{
+}
+
+std::optional<std::string> OperatorLink::call(const char* name, std::string request, Milliseconds timeout)
+{
+    auto promise = std::make_shared<std::promise<std::optional<std::string>>>();
+    auto future = promise->get_future();
+    auto deadline = BootClock::now() + timeout;
+    asio::post(
+        context_.io, [this, name = std::string(name), request = std::move(request), deadline, promise]() mutable {
+            auto call = std::make_shared<Call>(context_.io);
+            call->name = std::move(name);
+            call->request = std::move(request);
+            call->deadline = deadline;
+            call->reply = [promise](std::optional<std::string> reply) { promise->set_value(std::move(reply)); };
+            if (!explainsJob(call))
+                attempt(call);
+        });
+    // The process may stop without running the posted function.
+    if (future.wait_for(timeout + retryTime) != std::future_status::ready)
+        return std::nullopt;
+    return future.get();
+}
+
+void OperatorLink::attempt(const CallPointer& call)
+{
+    auto now = BootClock::now();
+    if (now >= call->deadline) {
+        call->reply(std::nullopt);
+        return;
+    }
+    if (auto manager = managerHere_()) {
+        manager->operate(call->name, call->request,
+            [this, call](std::optional<std::string> reply) { onReply(call, std::move(reply)); });
+        return;
+    }
+    auto address = membership_.ownerAddress(FleetManager::partition);
+    if (address.empty() || membership_.member().compare(0, address.size(), address) == 0) {
+        membership_.refreshOwners();
+        onReply(call, std::nullopt);
+        return;
+    }
+    auto time = std::min(attemptTime, std::chrono::duration_cast<Milliseconds>(call->deadline - now));
+    context_.peers.send(address,
+        { "POST", std::string(peerPrefix) + call->name, {}, call->request, "application/x-protobuf" }, time,
+        [this, call](HttpOutcome&& outcome) {
+            bool answered = outcome.answered && outcome.answer.status == 200;
+            if (!answered)
+                membership_.refreshOwners();
+            onReply(call, answered ? std::optional(std::move(outcome.answer.body)) : std::nullopt);
+        });
+}
+
+// Reads and changes may both be repeated: a change has an id.
+void OperatorLink::onReply(const CallPointer& call, std::optional<std::string> reply)
+{
+    if (reply) {
+        call->reply(std::move(reply));
+        return;
+    }
+    call->timer.expires_after(retryTime);
+    call->timer.async_wait([this, call](std::error_code error) {
+        if (!error)
+            attempt(call);
+    });
+}
+
+bool OperatorLink::isPeerCall(std::string_view target) { return target.compare(0, peerPrefix.size(), peerPrefix) == 0; }
+
+void OperatorLink::handlePeer(HttpMessage&& message, HttpServer::Reply reply)
+{
+    auto manager = managerHere_();
+    if (!manager) {
+        reply({ 503 });
+        return;
+    }
+    manager->operate(message.target.substr(peerPrefix.size()), message.body,
+        [reply = std::move(reply)](std::optional<std::string> answer) {
+            if (answer)
+                reply({ 200, std::move(*answer) });
+            else
+                reply({ 503 });
+        });
+}
+
+static std::string failedExplanation(ResultCode code, std::string text)
+{
+    proto::ExplainReply reply;
+    reply.set_result_code(static_cast<uint32_t>(code));
+    reply.set_message(std::move(text));
+    return reply.SerializeAsString();
+}
+
+// "job QUEUE/ID" is answered from the store, so that it can be explained while the manager is away.
+bool OperatorLink::explainsJob(const CallPointer& call)
+{
+    proto::ExplainRequest request;
+    if (call->name != "Explain" || !request.ParseFromString(call->request)
+        || request.subject().compare(0, jobSubject.size(), jobSubject) != 0)
+        return false;
+    auto name = request.subject().substr(jobSubject.size());
+    auto slash = name.rfind('/');
+    auto job = slash == std::string::npos ? std::string() : name.substr(slash + 1);
+    if (platform::isJobId(job) && context_.configuration
+        && context_.configuration->queues.count(name.substr(0, slash)) != 0)
+        readJob(call, name.substr(0, slash), job);
+    else
+        call->reply(failedExplanation(
+            ResultCode::NotFound, "a job is named QUEUE/ID, with a queue of the configuration and 16 digits"));
+    return true;
+}
+
+// The specification is removed when a job has ended; its state is kept for some time.
+static std::vector<std::string> factsOfRecords(const std::string& id, const std::vector<platform::KeyedRecord>& records)
+{
+    std::optional<Job> job;
+    std::vector<std::string> facts;
+    for (const auto& record : records) {
+        if (ServiceScheduler::jobOfKey(record.key) != id || record.value.empty())
+            continue;
+        if (!ServiceScheduler::isStateKey(record.key)) {
+            job = Job::decodeSpec(id, record.value);
+            continue;
+        }
+        if (!job)
+            job.emplace(id, std::string(), std::string(), JobSpec {}, WallTime {}, 0);
+        if (!job->decodeState(record.value))
+            facts.emplace_back("its state cannot be read");
+    }
+    if (job)
+        for (auto& fact : describeJob(*job))
+            facts.push_back(std::move(fact));
+    return facts;
+}
+
+void OperatorLink::readJob(const CallPointer& call, const std::string& queue, const std::string& job)
+{
+    const auto& service = context_.configuration->queues.at(queue).service;
+    auto partition = partitionOf(service, context_.settings.storePartitions);
+    // Keys are listed in order; the one before the job's has a smaller last character.
+    auto before = job;
+    --before.back();
+    context_.store.call(platform::newestCall({ Membership::topic(), partition }, before), attemptTime,
+        [this, call, job, service, partition](std::optional<HttpMessage> message) {
+            auto answer = message ? platform::readNewest(*message) : platform::NewestAnswer {};
+            if (answer.status != platform::StoreStatus::Ok) {
+                call->reply(failedExplanation(ResultCode::PlatformUnavailable, "the store has not answered"));
+                return;
+            }
+            proto::ExplainReply reply;
+            reply.add_facts(fmt::format(
+                "service {}, partition {}, owner {}", service, partition, membership_.ownerAddress(partition)));
+            for (auto& fact : factsOfRecords(job, answer.records))
+                reply.add_facts(std::move(fact));
+            if (reply.facts_size() == 1) {
+                reply.set_result_code(static_cast<uint32_t>(ResultCode::NotFound));
+                reply.set_message("no record of the job is kept: it was never accepted, or ended long ago");
+            }
+            call->reply(reply.SerializeAsString());
+        });
+}
+
+} // namespace shallotdrift::internal
--- a/shallotdrift/src/Operators/ForwardDeclarations.h
+++ b/shallotdrift/src/Operators/ForwardDeclarations.h
@@ -2,20 +2,17 @@
 
 namespace shallotdrift {
 
-class EntryAccess;
-class OperatorHandler;
+class OperatorBackend;
+class OperatorDesk;
 class OperatorServer;
 struct OperatorCommandOptions;
 struct OperatorServerOptions;
 
 namespace internal {
     class CommandWords;
+    class HandbookShelf;
     class OperatorClient;
-    class FoldTrial;
-    class StepPlanner;
     class TextTable;
-    struct OperatorChange;
-    struct PlannedStep;
 } // namespace internal
 
 } // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Operators/HandbookShelf.cpp
@@ -0,0 +1,131 @@
+#include "HandbookShelf.h"
+
+#include "../Settings/ValueForm.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace shallotdrift::internal {
+
+using nlohmann::json;
+
+static constexpr std::string_view keyPrefix = "handbook/";
+// An operator has to be able to read all of it; the store keeps each entry in one record.
+static constexpr size_t maximumEntries = 200;
+static constexpr size_t maximumTextBytes = 32 << 10;
+
+static HandbookShelf::Verdict checkText(
+    const std::string& name, const std::string& ini, const HandbookShelf::KnownNames& known, HandbookPlan& plan)
+{
+    return handleError(
+        [&]() -> Result<HandbookShelf::Verdict> {
+            BOOST_LEAF_ASSIGN(plan, parseHandbook(ini, name));
+            auto unknown = unknownNames(plan, known.pools, known.zones);
+            if (!unknown.empty())
+                return HandbookShelf::Verdict { ResultCode::InvalidHandbook, unknown.front() };
+            return HandbookShelf::Verdict {};
+        },
+        [](const Error& error) {
+            return HandbookShelf::Verdict { ResultCode::InvalidHandbook, error.message };
+        });
+}
+
+HandbookShelf::Verdict HandbookShelf::propose(const std::string& name, uint64_t expectedVersion, const std::string& ini,
+    const std::string& author, const KnownNames& known)
+{
+    if (!isName(name))
+        return { ResultCode::InvalidHandbook, "the name has to be " + ValueForm::name().allowed() };
+    auto found = entries_.find(name);
+    auto version = found == entries_.end() ? 0 : found->second.version;
+    if (version != expectedVersion)
+        return { ResultCode::StaleEpoch, fmt::format("the newest version is {}, not {}", version, expectedVersion) };
+    if (found == entries_.end() && entries_.size() >= maximumEntries)
+        return { ResultCode::TooLarge, fmt::format("the handbook holds {} entries already", maximumEntries) };
+    if (ini.size() > maximumTextBytes)
+        return { ResultCode::TooLarge, fmt::format("the text has more than {} bytes", maximumTextBytes) };
+    HandbookPlan plan;
+    auto verdict = checkText(name, ini, known, plan);
+    if (verdict.code != ResultCode::Ok)
+        return verdict;
+    auto& entry = entries_[name];
+    entry.version = version + 1;
+    entry.ini = ini;
+    entry.author = author;
+    entry.reviewer.clear();
+    entry.approved = false;
+    return { ResultCode::Ok, fmt::format("version {}", entry.version) };
+}
+
+HandbookShelf::Verdict HandbookShelf::review(
+    const std::string& name, uint64_t version, bool approved, const std::string& reviewer)
+{
+    auto found = entries_.find(name);
+    if (found == entries_.end())
+        return { ResultCode::NotFound, "there is no handbook entry " + name };
+    auto& entry = found->second;
+    if (entry.version != version)
+        return { ResultCode::StaleEpoch, fmt::format("the newest version is {}, not {}", entry.version, version) };
+    if (entry.author == reviewer)
+        return { ResultCode::SameAuthorAndReviewer, reviewer + " has written this version" };
+    if (!entry.reviewer.empty())
+        return { ResultCode::WrongState, fmt::format("{} has reviewed this version", entry.reviewer) };
+    entry.reviewer = reviewer;
+    entry.approved = approved;
+    if (approved) {
+        entry.approvedVersion = version;
+        entry.approvedIni = entry.ini;
+    }
+    return {};
+}
+
+HandbookShelf::Verdict HandbookShelf::find(
+    const std::string& name, uint64_t version, bool onlyApproved, uint64_t& foundVersion, HandbookPlan& plan) const
+{
+    auto found = entries_.find(name);
+    if (found == entries_.end())
+        return { ResultCode::NotFound, "there is no handbook entry " + name };
+    const auto& entry = found->second;
+    bool approved = entry.approvedVersion != 0 && (version == 0 || version == entry.approvedVersion);
+    if (!approved && onlyApproved)
+        return { ResultCode::NotReviewed,
+            entry.approvedVersion == 0 ? "no version is approved"
+                                       : fmt::format("version {} is approved", entry.approvedVersion) };
+    if (!approved && version != 0 && version != entry.version)
+        return { ResultCode::NotFound, fmt::format("version {} is not kept", version) };
+    foundVersion = approved ? entry.approvedVersion : entry.version;
+    return handleError(
+        [&]() -> Result<Verdict> {
+            BOOST_LEAF_ASSIGN(plan, parseHandbook(approved ? entry.approvedIni : entry.ini, name));
+            return Verdict {};
+        },
+        [](const Error& error) {
+            return Verdict { ResultCode::InvalidHandbook, error.message };
+        });
+}
+
+std::string HandbookShelf::keyOf(const std::string& name) { return std::string(keyPrefix) + name; }
+
+std::string HandbookShelf::encode(const std::string& name) const
+{
+    const auto& entry = entries_.at(name);
+    return json::array({ entry.version, entry.ini, entry.author, entry.reviewer, entry.approved, entry.approvedVersion,
+                           entry.approvedIni })
+        .dump();
+}
+
+bool HandbookShelf::restore(const std::string& key, const std::string& value)
+{
+    if (key.compare(0, keyPrefix.size(), keyPrefix) != 0)
+        return false;
+    try {
+        auto row = json::parse(value);
+        entries_[key.substr(keyPrefix.size())] = { row.at(0).get<uint64_t>(), row.at(1).get<std::string>(),
+            row.at(2).get<std::string>(), row.at(3).get<std::string>(), row.at(4).get<bool>(),
+            row.at(5).get<uint64_t>(), row.at(6).get<std::string>() };
+    } catch (const json::exception&) {
+        return false;
+    }
+    return true;
+}
+
+} // namespace shallotdrift::internal
--- a/shallotdrift/src/Operators/OperatorClient.h
+++ b/shallotdrift/src/Operators/OperatorClient.h
@@ -30,7 +30,7 @@
             auto status = (stub.*method)(&context, request, &answer);
             if (status.ok())
                 reply = std::move(answer);
-            return Attempt { status, codeOf(reply) };
+            return Attempt { status, resultCodeFromNumber(reply.result_code()).value_or(ResultCode::Internal) };
         }));
         return reply;
     }
@@ -38,13 +38,10 @@
 private:
     struct Attempt {
         grpc::Status status;
-        ResultCode code; // of the reply; Ok for replies without a code
+        ResultCode code;
     };
     using Call = std::function<Attempt(proto::Operator::Stub&, grpc::ClientContext&)>;
 
-    static ResultCode codeOf(const proto::ChangeReply&);
-    template <typename Reply> static ResultCode codeOf(const Reply&) { return ResultCode::Ok; }
-
     Result<void> callFirst(const Call&);
     Result<std::shared_ptr<grpc::ChannelCredentials>> credentials() const;
 
--- a/shallotdrift/src/Operators/OperatorCommands.cpp
+++ b/shallotdrift/src/Operators/OperatorCommands.cpp
@@ -1,6 +1,6 @@
 #include "OperatorCommands.h"
 
-#include "../Settings/EntrySettings.h"
+#include "../Settings/SettingsFile.h"
 #include "CommandWords.h"
 #include "OperatorClient.h"
 #include "ReplyText.h"
@@ -45,12 +45,6 @@
         fmt::gmtime(std::chrono::system_clock::to_time_t(std::chrono::system_clock::now())), random() % randomRange);
 }
 
-static unsigned codeOf(const proto::StatusReply&) { return 0; }
-static unsigned codeOf(const proto::AuditReply&) { return 0; }
-static unsigned codeOf(const proto::ListHandbookReply&) { return 0; }
-static unsigned codeOf(const proto::ConfigurationReply&) { return 0; }
-template <typename Reply> static unsigned codeOf(const Reply& reply) { return reply.result_code(); }
-
 // Calls an entry instance, prints its reply and returns the result code.
 template <typename Request, typename Reply>
 static Result<unsigned> callAndPrint(
@@ -70,7 +64,7 @@
     } else {
         internal::printReply(reply, context.output);
     }
-    return codeOf(reply);
+    return reply.result_code();
 }
 
 // As above, for a request that carries a change.
@@ -200,35 +194,6 @@
     return change(context, &Stub::ChangeWave, request);
 }
 
-static Result<unsigned> runMoveAbort(const CommandContext& context)
-{
-    proto::AbortMoveRequest request;
-    request.set_move_id(context.words.text("move"));
-    return change(context, &Stub::AbortMove, request);
-}
-
-static Result<unsigned> runEntryRemove(const CommandContext& context)
-{
-    proto::RemoveEntryRequest request;
-    request.set_entry(context.words.text("entry"));
-    request.set_confirm_stopped(context.words.yes("confirm-stopped"));
-    return change(context, &Stub::RemoveEntry, request);
-}
-
-static Result<unsigned> runConfigPropose(const CommandContext& context)
-{
-    proto::ProposeConfigurationRequest request;
-    request.set_expected_version(context.words.number("expected"));
-    request.set_reviewer(context.words.text("reviewer"));
-    BOOST_LEAF_ASSIGN(*request.mutable_ini(), readSettingsFile(context.words.text("file")));
-    return change(context, &Stub::ProposeConfiguration, request);
-}
-
-static Result<unsigned> runConfigShow(const CommandContext& context)
-{
-    return callAndPrint(context, &Stub::ShowConfiguration, proto::ShowConfigurationRequest());
-}
-
 struct Command {
     CommandSyntax syntax;
     Result<unsigned> (*run)(const CommandContext&);
@@ -247,18 +212,17 @@
         "version of the entry; the approved one when not given" };
     static const CommandOption wave { "wave", F::name(), true, "id of the wave or drain" };
     static const std::vector<Command> table {
-        { { "status", {}, {}, "pools, budgets, entry instances, moves and waves" }, runStatus },
+        { { "status", {}, {}, "pools, loans, waves and drains" }, runStatus },
         { { "explain",
-              { { "type",
-                    F::choice({ "instance", "pool", "move", "wave", "change", "handbook", "key", "task", "entry" }),
-                    true, "type of the subject" },
-                  { "name", F::text(), true, "name or id of the subject" } },
-              {}, "facts and events of a subject" },
+              { { "type", F::choice({ "instance", "pool", "wave", "change", "handbook", "job" }), true,
+                    "type of the subject" },
+                  { "name", F::text(), true, "name or id of the subject; QUEUE/ID for a job" } },
+              {}, "facts about a subject, and changes that name it" },
             runExplain },
         { { "audit", {},
               { { "limit", F::whole(1, 2000, "events"), false, "newest events to show; 50 when not given" },
-                  { "subject", F::text(), false, "for example 'instance w-03'" } },
-              "the latest changes and refusals" },
+                  { "subject", F::text(), false, "a part of the change's id, operator or action" } },
+              "the latest changes, with those that were refused" },
             runAudit },
         { { "handbook list", {}, {}, "all handbook entries" }, runHandbookList },
         { { "handbook show", { name }, {}, "text of an entry" }, runHandbookShow },
@@ -283,7 +247,7 @@
               "lend instances to a pool" },
             runLend, watchChange },
         { { "return", {}, { { "pool", F::name(), false, "pool that borrowed; all pools when not given" } },
-              "return lent instances to their home pools" },
+              "end loans" },
             runReturn, watchChange },
         { { "drain", {},
               { { "zone", F::name(), false, "zone to drain" },
@@ -294,7 +258,7 @@
               { { "zone", F::name(), false, "zone of the wave" }, { "pool", F::name(), false, "pool of the wave" },
                   { "all", F::yesNo(), false, "the whole fleet" },
                   { "max-parallel", F::whole(0, 1000, "instances"), false, "instances under way at once" } },
-              "start a maintenance wave" },
+              "restart instances one after another" },
             runWaveStart, watchChange },
         { { "wave pause", { wave }, {}, "take no further instances" },
             [](const CommandContext& context) { return changeWave(context, "pause"); } },
@@ -302,20 +266,6 @@
             [](const CommandContext& context) { return changeWave(context, "resume"); } },
         { { "wave abort", { wave }, {}, "end a wave or drain; drained instances return to service" },
             [](const CommandContext& context) { return changeWave(context, "abort"); } },
-        { { "move abort", { { "move", F::name(), true, "id of the move" } }, {},
-              "end a move; the instance stays in its pool" },
-            runMoveAbort },
-        { { "entry remove", { { "entry", F::name(), true, "entry instance" } },
-              { { "confirm-stopped", F::yesNo(), true, "yes: its process is known to be stopped" } },
-              "remove a stopped entry instance from its zone's gate" },
-            runEntryRemove },
-        { { "config show", {}, {}, "the configuration in force" }, runConfigShow },
-        { { "config propose", {},
-              { { "file", F::path(), true, "whole configuration" },
-                  { "expected", F::whole(0, maximumVersion), true, "version that config show printed" },
-                  { "reviewer", F::name(), true, "operator who reviewed the file, other than the author" } },
-              "put a configuration into force" },
-            runConfigPropose },
     };
     return table;
 }
@@ -390,8 +340,8 @@
         return accepted;
     if (resultCode == static_cast<unsigned>(ResultCode::InvalidCommand))
         return commandMistake;
-    bool logSilent = resultCode == static_cast<unsigned>(ResultCode::LogUnavailable);
-    return logSilent || resultCode >= firstPlatformCode ? notReachable : refused;
+    bool noManager = resultCode == static_cast<unsigned>(ResultCode::NotReady);
+    return noManager || resultCode >= firstPlatformCode ? notReachable : refused;
 }
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Operators/OperatorCommands.h
+++ b/shallotdrift/src/Operators/OperatorCommands.h
@@ -31,8 +31,8 @@
 unsigned runOperatorCommand(
     const std::vector<std::string>& words, const OperatorCommandOptions&, std::ostream& output, std::ostream& errors);
 
-// Exit status for a result code: 0 accepted, 1 refused, 2 mistakes in the command, 3 no entry instance or no log
-// answers.
+// Exit status for a result code: 0 accepted, 1 refused, 2 mistakes in the command, 3 no entry instance or no
+// manager of the fleet answers.
 int exitStatusOf(unsigned resultCode);
 
 } // namespace shallotdrift
--- /dev/null
+++ b/shallotdrift/src/Operators/OperatorDeskReports.cpp
@@ -0,0 +1,262 @@
+// What operators read at the desk; the changes are in OperatorDesk.cpp.
+#include "OperatorDesk.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace shallotdrift {
+
+static constexpr uint32_t defaultAuditLimit = 50;
+
+static const char* nameOf(FleetInstance::State state)
+{
+    switch (state) {
+    case FleetInstance::State::Up:
+        return "up";
+    case FleetInstance::State::Moving:
+        return "moving";
+    case FleetInstance::State::Maintenance:
+        return "under maintenance";
+    case FleetInstance::State::Down:
+        return "down";
+    }
+    return "unknown";
+}
+
+static const char* stateOf(const FleetDirectives::Drain& drain)
+{
+    if (drain.done.size() == drain.instances.size())
+        return drain.wave ? "completed" : "drained";
+    return drain.paused ? "paused" : "running";
+}
+
+proto::StatusReply OperatorDesk::status(const proto::StatusRequest&) const
+{
+    proto::StatusReply reply;
+    reply.set_manager(manager_);
+    reply.set_configuration_version(configurationVersion_);
+    auto out = directives_.outOfService();
+    std::map<std::string, InstancePlanner::PoolView> views;
+    for (auto& view : planner_.view())
+        views[view.name] = view;
+    for (const auto& [name, rule] : planner_.pools()) {
+        auto& pool = *reply.add_pools();
+        pool.set_pool(name);
+        pool.set_standby(rule.standby);
+        uint32_t instances = 0;
+        uint32_t outOfService = 0;
+        for (const auto& [id, instance] : planner_.instances()) {
+            if (instance.pool != name)
+                continue;
+            ++instances;
+            if (instance.state != FleetInstance::State::Up || out.count(id) != 0)
+                ++outOfService;
+        }
+        pool.set_instances(instances);
+        pool.set_out_of_service(outOfService);
+        if (auto view = views.find(name); view != views.end() && !rule.standby) {
+            pool.set_wanted(static_cast<uint32_t>(view->second.want));
+            pool.set_least(static_cast<uint32_t>(view->second.least));
+            pool.set_held_cores(view->second.report.heldCores);
+            pool.set_waiting_cores(view->second.report.waitingCores);
+        }
+    }
+    for (const auto& wave : planner_.waves()) {
+        auto& line = *reply.add_waves();
+        line.set_wave_id(fmt::format("platform/{}", wave.number));
+        line.set_status(wave.completed ? "completed" : "running");
+        line.set_done(static_cast<uint32_t>(wave.done));
+        line.set_pending(static_cast<uint32_t>(wave.instances - std::min(wave.done, wave.instances)));
+    }
+    for (const auto& [id, drain] : directives_.drains()) {
+        auto& line = *reply.add_waves();
+        line.set_wave_id(id);
+        line.set_status(stateOf(drain));
+        line.set_done(static_cast<uint32_t>(drain.done.size()));
+        line.set_pending(static_cast<uint32_t>(drain.instances.size() - drain.done.size()));
+    }
+    for (const auto& loan : directives_.loans()) {
+        auto& line = *reply.add_loans();
+        line.set_change_id(loan.id);
+        line.set_from_pool(loan.fromPool);
+        line.set_to_pool(loan.toPool);
+        line.set_count(loan.count);
+    }
+    return reply;
+}
+
+std::vector<std::string> OperatorDesk::factsOfInstance(const std::string& name) const
+{
+    std::vector<std::string> facts;
+    auto found = planner_.instances().find(name);
+    if (found == planner_.instances().end())
+        return facts;
+    const auto& instance = found->second;
+    facts.push_back(fmt::format("{} in pool {}, zone {}, rack {}, {:.0f} cores", nameOf(instance.state), instance.pool,
+        instance.zone, instance.rack, instance.cores));
+    for (const auto& pool : planner_.view())
+        for (const auto& worker : pool.report.workers)
+            if (worker.instance == name)
+                facts.push_back(fmt::format("its worker runs {} tasks, {} of them lasting{}{}", worker.runs,
+                    worker.lastingRuns, worker.cordoned ? "; nothing new is placed there" : "",
+                    worker.draining ? "; it is leaving" : ""));
+    if (planner_.cordons().count(name) != 0)
+        facts.emplace_back("it is being emptied, for a move, maintenance, a drain or a wave");
+    if (planner_.maintenanceDue().count(name) != 0)
+        facts.emplace_back("a wave of the platform has still to maintain it");
+    for (const auto& [id, drain] : directives_.drains())
+        if (drain.instances.count(name) != 0)
+            facts.push_back(fmt::format("{} {} ({}): {}", drain.wave ? "wave" : "drain", id, stateOf(drain),
+                drain.done.count(name) != 0 ? "done" : "pending"));
+    return facts;
+}
+
+std::vector<std::string> OperatorDesk::factsOfPool(const std::string& name) const
+{
+    std::vector<std::string> facts;
+    for (const auto& pool : planner_.view()) {
+        if (pool.name != name)
+            continue;
+        facts.push_back(fmt::format("{} instances there or on their way, {} wanted, {} needed by lasting tasks",
+            pool.size, pool.want, pool.least));
+        facts.push_back(fmt::format("{:.0f} cores run, {:.0f} wait, lasting tasks ask for {:.0f}, a rate of {:.0f} "
+                                    "ends the accepted jobs in time",
+            pool.report.heldCores, pool.report.waitingCores, pool.report.lastingCores, pool.report.requiredCores));
+    }
+    for (const auto& loan : directives_.loans())
+        if (loan.fromPool == name || loan.toPool == name)
+            facts.push_back(fmt::format("loan {}: {} from {} to {}", loan.id, loan.count,
+                loan.fromPool.empty() ? "any pool" : loan.fromPool, loan.toPool));
+    return facts;
+}
+
+std::vector<std::string> OperatorDesk::factsOfWave(const std::string& name) const
+{
+    std::vector<std::string> facts;
+    auto found = directives_.drains().find(name);
+    if (found == directives_.drains().end())
+        return facts;
+    const auto& drain = found->second;
+    facts.push_back(fmt::format("{} is {}: {} of {} instances done, at most {} at once", drain.wave ? "wave" : "drain",
+        stateOf(drain), drain.done.size(), drain.instances.size(), drain.maximumAtOnce));
+    for (const auto& id : drain.instances)
+        if (drain.done.count(id) == 0)
+            facts.push_back("pending: " + id);
+    return facts;
+}
+
+std::vector<std::string> OperatorDesk::factsOfHandbook(const std::string& name) const
+{
+    std::vector<std::string> facts;
+    auto found = handbook_.entries().find(name);
+    if (found == handbook_.entries().end())
+        return facts;
+    const auto& entry = found->second;
+    facts.push_back(fmt::format("version {} by {}{}", entry.version, entry.author,
+        entry.reviewer.empty() ? ", not reviewed"
+                               : fmt::format(", {} by {}", entry.approved ? "approved" : "rejected", entry.reviewer)));
+    if (entry.approvedVersion != 0)
+        facts.push_back(fmt::format("invoke runs version {}", entry.approvedVersion));
+    return facts;
+}
+
+std::vector<std::string> OperatorDesk::factsOfChange(const std::string& name) const
+{
+    std::vector<std::string> facts;
+    auto found = events_.find(name);
+    if (found == events_.end())
+        return facts;
+    for (const auto& step : found->second.reply.steps())
+        facts.push_back(fmt::format("{}: {}{}", step.action(), step.result_code() == 0 ? "accepted" : "refused",
+            step.message().empty() ? "" : ", " + step.message()));
+    for (const auto& [id, drain] : directives_.drains())
+        if (id.compare(0, id.find('.'), name) == 0 || id == name)
+            for (auto& fact : factsOfWave(id))
+                facts.push_back(std::move(fact));
+    return facts;
+}
+
+proto::ExplainReply OperatorDesk::explain(const proto::ExplainRequest& request) const
+{
+    using Facts = std::vector<std::string> (OperatorDesk::*)(const std::string&) const;
+    static const std::map<std::string, Facts> types { { "instance", &OperatorDesk::factsOfInstance },
+        { "pool", &OperatorDesk::factsOfPool }, { "wave", &OperatorDesk::factsOfWave },
+        { "handbook", &OperatorDesk::factsOfHandbook }, { "change", &OperatorDesk::factsOfChange } };
+    proto::ExplainReply reply;
+    auto space = request.subject().find(' ');
+    auto type = types.find(request.subject().substr(0, space));
+    if (space == std::string::npos || type == types.end()) {
+        reply.set_result_code(static_cast<uint32_t>(ResultCode::InvalidCommand));
+        reply.set_message("the subject has to be an instance, pool, wave, handbook, change or job, with its name");
+        return reply;
+    }
+    auto name = request.subject().substr(space + 1);
+    for (auto& fact : (this->*type->second)(name))
+        reply.add_facts(std::move(fact));
+    proto::AuditRequest events;
+    events.set_subject(name);
+    *reply.mutable_events() = audit(events).events();
+    if (reply.facts_size() == 0) {
+        reply.set_result_code(static_cast<uint32_t>(ResultCode::NotFound));
+        reply.set_message(fmt::format("there is no {}", request.subject()));
+    }
+    return reply;
+}
+
+proto::AuditReply OperatorDesk::audit(const proto::AuditRequest& request) const
+{
+    std::vector<std::pair<Milliseconds, std::string>> order;
+    auto holds = [&](const std::string& text) { return text.find(request.subject()) != std::string::npos; };
+    for (const auto& [id, event] : events_)
+        if (holds(id) || holds(event.actor) || holds(event.action))
+            order.emplace_back(event.at, id);
+    std::sort(order.rbegin(), order.rend());
+    if (auto limit = request.limit() != 0 ? request.limit() : defaultAuditLimit; order.size() > limit)
+        order.resize(limit);
+    proto::AuditReply reply;
+    for (const auto& [at, id] : order) {
+        const auto& event = events_.at(id);
+        auto& line = *reply.add_events();
+        line.set_written_ms(at.count());
+        line.set_change_id(id);
+        line.set_actor(event.actor);
+        line.set_action(event.action);
+        line.set_reason(event.reason);
+        line.set_result_code(event.reply.result_code());
+    }
+    return reply;
+}
+
+static void describe(const std::string& name, const internal::HandbookShelf::Entry& entry, proto::HandbookEntry& line)
+{
+    line.set_name(name);
+    line.set_version(entry.version);
+    line.set_approved_version(entry.approvedVersion);
+    line.set_author(entry.author);
+    line.set_reviewer(entry.reviewer);
+}
+
+proto::ListHandbookReply OperatorDesk::listHandbook(const proto::ListHandbookRequest&) const
+{
+    proto::ListHandbookReply reply;
+    for (const auto& [name, entry] : handbook_.entries())
+        describe(name, entry, *reply.add_entries());
+    return reply;
+}
+
+proto::HandbookEntry OperatorDesk::showHandbook(const proto::ShowHandbookRequest& request) const
+{
+    proto::HandbookEntry reply;
+    auto found = handbook_.entries().find(request.name());
+    if (found == handbook_.entries().end()) {
+        reply.set_result_code(static_cast<uint32_t>(ResultCode::NotFound));
+        reply.set_message("there is no handbook entry " + request.name());
+        return reply;
+    }
+    describe(found->first, found->second, reply);
+    reply.set_ini(found->second.ini);
+    reply.set_approved_ini(found->second.approvedIni);
+    return reply;
+}
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Operators/OperatorServer.cpp
+++ b/shallotdrift/src/Operators/OperatorServer.cpp
@@ -20,6 +20,8 @@
 static constexpr int maximumIdleMilliseconds = 60000;
 static constexpr int handshakeTimeoutMilliseconds = 5000;
 static constexpr std::chrono::seconds stopLimit { 2 };
+// Shorter than the commands' own timeout of 10 s, so that the answer still reaches the operator.
+static constexpr Milliseconds managerTimeout { 5000 };
 
 template <typename Request, typename = void> struct CarriesChange : std::false_type {
 };
@@ -27,46 +29,40 @@
 struct CarriesChange<Request, std::void_t<decltype(std::declval<Request>().change())>> : std::true_type {
 };
 
-// Passes the calls to the handler; under TLS the certificate tells who calls.
+// Passes the calls on; under TLS the certificate tells who calls.
 class OperatorService final : public proto::Operator::Service {
 public:
-    OperatorService(OperatorHandler& handler, bool authenticated)
-        : handler_(handler)
+    OperatorService(OperatorBackend& backend, bool authenticated)
+        : backend_(backend)
         , authenticated_(authenticated)
     {
     }
 
-    template <typename Request, typename Reply> using Call = Reply (OperatorHandler::*)(const Request&);
-
-#define SHALLOTDRIFT_OPERATOR_CALL(rpc, call, RequestType, ReplyType)                                                  \
+#define SHALLOTDRIFT_OPERATOR_CALL(rpc, RequestType, ReplyType)                                                        \
     grpc::Status rpc(grpc::ServerContext* context, const proto::RequestType* request, proto::ReplyType* reply)         \
         override                                                                                                       \
     {                                                                                                                  \
-        return answer(*context, *request, *reply, &OperatorHandler::call);                                             \
+        return answer(#rpc, *context, *request, *reply);                                                               \
     }
-    SHALLOTDRIFT_OPERATOR_CALL(Status, status, StatusRequest, StatusReply)
-    SHALLOTDRIFT_OPERATOR_CALL(Explain, explain, ExplainRequest, ExplainReply)
-    SHALLOTDRIFT_OPERATOR_CALL(Audit, audit, AuditRequest, AuditReply)
-    SHALLOTDRIFT_OPERATOR_CALL(ListHandbook, listHandbook, ListHandbookRequest, ListHandbookReply)
-    SHALLOTDRIFT_OPERATOR_CALL(ShowHandbook, showHandbook, ShowHandbookRequest, HandbookEntry)
-    SHALLOTDRIFT_OPERATOR_CALL(ProposeHandbook, proposeHandbook, ProposeHandbookRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(ReviewHandbook, reviewHandbook, ReviewHandbookRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(Rehearse, rehearse, RehearseRequest, RehearseReply)
-    SHALLOTDRIFT_OPERATOR_CALL(Invoke, invoke, InvokeRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(Lend, lend, LendRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(ReturnLent, returnLent, ReturnLentRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(Drain, drain, DrainRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(StartWave, startWave, StartWaveRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(ChangeWave, changeWave, ChangeWaveRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(AbortMove, abortMove, AbortMoveRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(RemoveEntry, removeEntry, RemoveEntryRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(ProposeConfiguration, proposeConfiguration, ProposeConfigurationRequest, ChangeReply)
-    SHALLOTDRIFT_OPERATOR_CALL(ShowConfiguration, showConfiguration, ShowConfigurationRequest, ConfigurationReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Status, StatusRequest, StatusReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Explain, ExplainRequest, ExplainReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Audit, AuditRequest, AuditReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ListHandbook, ListHandbookRequest, ListHandbookReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ShowHandbook, ShowHandbookRequest, HandbookEntry)
+    SHALLOTDRIFT_OPERATOR_CALL(ProposeHandbook, ProposeHandbookRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ReviewHandbook, ReviewHandbookRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Rehearse, RehearseRequest, RehearseReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Invoke, InvokeRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Lend, LendRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ReturnLent, ReturnLentRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(Drain, DrainRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(StartWave, StartWaveRequest, ChangeReply)
+    SHALLOTDRIFT_OPERATOR_CALL(ChangeWave, ChangeWaveRequest, ChangeReply)
 #undef SHALLOTDRIFT_OPERATOR_CALL
 
 private:
     template <typename Request, typename Reply>
-    grpc::Status answer(grpc::ServerContext& context, Request request, Reply& reply, Call<Request, Reply> call)
+    grpc::Status answer(const char* call, const grpc::ServerContext& context, Request request, Reply& reply)
     {
         // The operator gave up already; a change that nobody waits for is better not started.
         if (context.IsCancelled())
@@ -75,11 +71,15 @@
             if (authenticated_)
                 request.mutable_change()->set_operator_name(commonNameOf(context));
             logger("operators")
-                ->info("{} by {}: change {}", Request::descriptor()->name(),
+                ->info("{} by {}: change {}", call,
                     internal::isName(request.change().operator_name()) ? request.change().operator_name() : "(unnamed)",
                     internal::isName(request.change().change_id()) ? request.change().change_id() : "(invalid)");
         }
-        reply = (handler_.*call)(request);
+        auto bytes = backend_.call(call, request.SerializeAsString(), managerTimeout);
+        if (!bytes || !reply.ParseFromString(*bytes)) {
+            reply.set_result_code(static_cast<uint32_t>(ResultCode::NotReady));
+            reply.set_message("the manager of the fleet has not answered; repeat a change with the same change id");
+        }
         return grpc::Status::OK;
     }
 
@@ -89,7 +89,7 @@
         return names.size() == 1 ? std::string(names.front().data(), names.front().size()) : std::string();
     }
 
-    OperatorHandler& handler_;
+    OperatorBackend& backend_;
     bool authenticated_;
 };
 
@@ -126,9 +126,9 @@
 
 class OperatorServer::Implementation {
 public:
-    Implementation(OperatorServerOptions options, OperatorHandler& handler)
+    Implementation(OperatorServerOptions options, OperatorBackend& backend)
         : options_(std::move(options))
-        , service_(handler, usesTls(options_))
+        , service_(backend, usesTls(options_))
     {
     }
 
@@ -178,8 +178,8 @@
     int port_ = 0;
 };
 
-OperatorServer::OperatorServer(OperatorServerOptions options, OperatorHandler& handler)
-    : implementation_(std::make_unique<Implementation>(std::move(options), handler))
+OperatorServer::OperatorServer(OperatorServerOptions options, OperatorBackend& backend)
+    : implementation_(std::make_unique<Implementation>(std::move(options), backend))
 {
 }
 
--- a/shallotdrift/src/Operators/OperatorServer.h
+++ b/shallotdrift/src/Operators/OperatorServer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "../Base/Error.h"
-#include "OperatorHandler.h"
+#include "OperatorBackend.h"
 
 #include <memory>
 #include <string>
@@ -19,7 +19,7 @@
 // gRPC server for operators.
 class OperatorServer {
 public:
-    OperatorServer(OperatorServerOptions, OperatorHandler&);
+    OperatorServer(OperatorServerOptions, OperatorBackend&);
     ~OperatorServer();
     OperatorServer(const OperatorServer&) = delete;
     OperatorServer& operator=(const OperatorServer&) = delete;
--- a/shallotdrift/src/Operators/ReplyText.cpp
+++ b/shallotdrift/src/Operators/ReplyText.cpp
@@ -21,19 +21,17 @@
 };
 
 // What helps after a refusal.
-static constexpr std::array<NextAction, 16> nextActions { {
-    { ResultCode::Stopping, "name another entry instance in --entries" },
-    { ResultCode::LogUnavailable, "repeat the command with the same --change_id once the platform answers" },
-    { ResultCode::NotReady, "name another entry instance in --entries, or wait until this one is ready" },
+static constexpr std::array<NextAction, 12> nextActions { {
+    { ResultCode::NotReady,
+        "name another entry instance in --entries, or repeat the command with the same --change_id" },
     { ResultCode::StaleEpoch, "read the current version or state again, then decide anew" },
-    { ResultCode::Conflict, "explain the instance or pool to see what holds it; wait for it or abort it" },
-    { ResultCode::BudgetExceeded, "wait for work under way to end, or take another pool; status shows the budgets" },
-    { ResultCode::NotFound, "check the name against status, handbook list and config show" },
+    { ResultCode::Conflict, "explain the instance to see what holds it; wait for it or abort it" },
+    { ResultCode::BudgetExceeded,
+        "wait for work under way to end, or take fewer instances or another pool; status shows the pools" },
+    { ResultCode::NotFound, "check the name against status and handbook list" },
     { ResultCode::NotReviewed, "have another operator run handbook review for the newest version" },
     { ResultCode::SameAuthorAndReviewer, "have another operator review it" },
     { ResultCode::WrongState, "explain the subject to see its state" },
-    { ResultCode::FailureDomainBusy, "wait until the work on the other rack ends; status shows it" },
-    { ResultCode::InvalidSettings, "repair the lines above; check-config checks the file without an entry instance" },
     { ResultCode::InvalidHandbook, "repair the lines above; check-config checks the file without an entry instance" },
     { ResultCode::InvalidCommand, "correct the command; help lists all commands" },
     { ResultCode::NotAuthorized, "give --operator_name, or a client certificate that the entries' authority signed" },
@@ -87,13 +85,11 @@
 
 static void printEvents(const google::protobuf::RepeatedPtrField<proto::AuditLine>& events, std::ostream& output)
 {
-    TextTable table({ "TIME", "OFFSET", "WHO", "SUBJECT", "ACTION", "RESULT" });
-    for (const auto& event : events) {
-        auto separator = event.reason().empty() || event.figures().empty() ? "" : ": ";
-        table.addRow({ timeText(event.written_ms()), std::to_string(event.offset()), event.actor(), event.subject(),
-                         event.action(), resultText(event.result_code()) },
-            event.reason() + separator + event.figures());
-    }
+    TextTable table({ "TIME", "CHANGE", "WHO", "ACTION", "RESULT" });
+    for (const auto& event : events)
+        table.addRow({ timeText(event.written_ms()), event.change_id(), event.actor(), event.action(),
+                         resultText(event.result_code()) },
+            event.reason());
     if (!table.empty())
         table.print(output);
 }
@@ -101,59 +97,53 @@
 void printReply(const proto::ChangeReply& reply, std::ostream& output)
 {
     output << fmt::format("change {}: {}\n", printableText(reply.change_id()), printableText(reply.message()));
-    if (reply.offset())
-        output << fmt::format("recorded up to offset {}\n", reply.offset());
     printSteps(reply.steps(), output);
 }
 
 static void printPools(const proto::StatusReply& reply, std::ostream& output)
 {
-    TextTable table(
-        { "POOL", "INSTANCES", "AVAILABLE", "MINIMUM", "ABOVE", "LENT IN", "LENT OUT", "QUEUED", "RUNNING", "" });
-    for (const auto& pool : reply.pools()) {
-        auto above = pool.available() > pool.minimum() ? pool.available() - pool.minimum() : 0;
-        table.addRow({ pool.pool(), std::to_string(pool.instances()), std::to_string(pool.available()),
-            std::to_string(pool.minimum()), std::to_string(above), std::to_string(pool.lent_in()),
-            std::to_string(pool.lent_out()), std::to_string(pool.queued()), std::to_string(pool.running()),
-            pool.available() < pool.minimum() ? "BELOW MINIMUM" : "" });
-    }
+    TextTable table({ "POOL", "INSTANCES", "OUT", "WANTED", "LEAST", "CORES HELD", "WAITING", "" });
+    for (const auto& pool : reply.pools())
+        table.addRow({ pool.pool(), std::to_string(pool.instances()), std::to_string(pool.out_of_service()),
+            std::to_string(pool.wanted()), std::to_string(pool.least()), fmt::format("{:.0f}", pool.held_cores()),
+            fmt::format("{:.0f}", pool.waiting_cores()),
+            pool.standby()                        ? "switched off"
+                : pool.instances() < pool.least() ? "BELOW ITS LEAST"
+                                                  : "" });
     table.print(output);
 }
 
 static void printOperations(const proto::StatusReply& reply, std::ostream& output)
 {
-    TextTable moves({ "MOVE", "INSTANCE", "FROM", "TO", "STATE", "WAITS FOR" });
-    for (const auto& move : reply.moves())
-        moves.addRow({ move.move_id(), move.instance(), move.from_pool(), move.to_pool(), move.status(),
-            move.waiting_for_size() ? fmt::format("{}", fmt::join(move.waiting_for(), ", ")) : "platform" });
-    if (moves.empty())
-        output << "no moves under way\n";
-    else
-        moves.print(output);
-    TextTable waves({ "WAVE", "STATE", "PENDING", "UNDER WAY", "DONE", "GIVEN UP" });
+    TextTable loans({ "LOAN", "FROM", "TO", "COUNT" });
+    for (const auto& loan : reply.loans())
+        loans.addRow({ loan.change_id(), orDash(loan.from_pool()), loan.to_pool(), std::to_string(loan.count()) });
+    if (!loans.empty())
+        loans.print(output);
+    TextTable waves({ "WAVE", "STATE", "PENDING", "DONE" });
     for (const auto& wave : reply.waves())
-        waves.addRow({ wave.wave_id(), wave.status(), std::to_string(wave.pending()), std::to_string(wave.active()),
-            std::to_string(wave.done()), std::to_string(wave.given_up()) });
+        waves.addRow({ wave.wave_id(), wave.status(), std::to_string(wave.pending()), std::to_string(wave.done()) });
     if (waves.empty())
-        output << "no waves or drains under way\n";
+        output << "no waves or drains\n";
     else
         waves.print(output);
 }
 
+// A reply with a result code has a message in place of its content.
+template <typename Reply> static bool printFailure(const Reply& reply, std::ostream& output)
+{
+    if (reply.result_code() != 0)
+        output << printableText(reply.message()) << "\n";
+    return reply.result_code() != 0;
+}
+
 void printReply(const proto::StatusReply& reply, std::ostream& output)
 {
-    output << fmt::format("entry {} in zone {}: {}, platform {}, configuration version {}, offset {}\n",
-        printableText(reply.entry()), printableText(reply.zone()), reply.ready() ? "ready" : "NOT READY",
-        reply.platform_reachable() ? "reachable" : "NOT REACHABLE: no changes, moves, new tasks or keyed work",
-        reply.configuration_version(), reply.folded_offset());
+    if (printFailure(reply, output))
+        return;
+    output << fmt::format("fleet managed by {}, configuration version {}\n", printableText(reply.manager()),
+        reply.configuration_version());
     printPools(reply, output);
-    TextTable entries({ "ENTRY", "ZONE", "LAST HEARD", "OFFSET" });
-    for (const auto& entry : reply.entries())
-        entries.addRow({ entry.entry(), entry.zone(),
-            entry.last_heard_ms() < 0 ? "never"
-                                      : fmt::format("{:.1f} s ago", static_cast<double>(entry.last_heard_ms()) / 1000),
-            std::to_string(entry.folded_offset()) });
-    entries.print(output);
     printOperations(reply, output);
 }
 
@@ -168,6 +158,8 @@
 
 void printReply(const proto::AuditReply& reply, std::ostream& output)
 {
+    if (printFailure(reply, output))
+        return;
     printEvents(reply.events(), output);
     if (!reply.events_size())
         output << "no events\n";
@@ -184,6 +176,8 @@
 
 void printReply(const proto::ListHandbookReply& reply, std::ostream& output)
 {
+    if (printFailure(reply, output))
+        return;
     TextTable table({ "NAME", "VERSION", "STATE", "AUTHOR", "REVIEWER" });
     for (const auto& entry : reply.entries())
         table.addRow({ entry.name(), std::to_string(entry.version()), handbookState(entry), entry.author(),
@@ -196,10 +190,8 @@
 
 void printReply(const proto::HandbookEntry& entry, std::ostream& output)
 {
-    if (entry.result_code()) {
-        output << printableText(entry.message()) << "\n";
+    if (printFailure(entry, output))
         return;
-    }
     output << fmt::format("; handbook entry {} version {} by {}: {}\n", printableText(entry.name()), entry.version(),
         printableText(entry.author()), handbookState(entry));
     output << printableText(entry.ini()) << "\n";
@@ -212,20 +204,13 @@
 {
     output << printableText(reply.message()) << "\n";
     printSteps(reply.steps(), output);
-    TextTable table({ "POOL", "MINIMUM", "AVAILABLE NOW", "THEN", "" });
+    TextTable table({ "POOL", "LEAST", "INSTANCES NOW", "THEN", "" });
     for (const auto& budget : reply.budgets())
-        table.addRow({ budget.pool(), std::to_string(budget.minimum()), std::to_string(budget.available_before()),
-            std::to_string(budget.available_after()),
-            budget.available_before() == budget.available_after() ? "" : "changes" });
+        table.addRow({ budget.pool(), std::to_string(budget.least()), std::to_string(budget.instances_before()),
+            std::to_string(budget.instances_after()),
+            budget.instances_before() == budget.instances_after() ? "" : "changes" });
     if (!table.empty())
         table.print(output);
 }
 
-void printReply(const proto::ConfigurationReply& reply, std::ostream& output)
-{
-    output << fmt::format("; configuration version {} by {}, reviewed by {}\n", reply.version(),
-        orDash(printableText(reply.author())), orDash(printableText(reply.reviewer())));
-    output << printableText(reply.ini()) << "\n";
-}
-
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Operators/ReplyText.h
+++ b/shallotdrift/src/Operators/ReplyText.h
@@ -13,7 +13,6 @@
 void printReply(const proto::ListHandbookReply&, std::ostream&);
 void printReply(const proto::HandbookEntry&, std::ostream&);
 void printReply(const proto::RehearseReply&, std::ostream&);
-void printReply(const proto::ConfigurationReply&, std::ostream&);
 
 // The closing line of a command: number, name and meaning of the result, and what to do next.
 void printResult(unsigned resultCode, std::ostream&);
--- a/shallotdrift/src/Settings/ForwardDeclarations.h
+++ b/shallotdrift/src/Settings/ForwardDeclarations.h
@@ -2,8 +2,7 @@
 
 namespace shallotdrift {
 
-struct EntrySettings;
-struct FleetConfiguration;
+struct NodeSettings;
 struct HandbookPlan;
 struct HandbookStep;
 struct KeyReference;
--- a/shallotdrift/src/Settings/HandbookPlan.cpp
+++ b/shallotdrift/src/Settings/HandbookPlan.cpp
@@ -1,6 +1,5 @@
 #include "HandbookPlan.h"
 
-#include "FleetConfiguration.h"
 #include "SettingsTables.h"
 
 #include <fmt/format.h>
@@ -67,19 +66,17 @@
     return plan;
 }
 
-std::vector<std::string> unknownNames(const HandbookPlan& plan, const FleetConfiguration& configuration)
+std::vector<std::string> unknownNames(
+    const HandbookPlan& plan, const std::set<std::string>& pools, const std::set<std::string>& zones)
 {
     std::vector<std::string> unknown;
     for (size_t i = 0; i < plan.steps.size(); ++i) {
         const auto& step = plan.steps[i];
-        for (const auto& pool : { step.fromPool, step.toPool, step.pool }) {
-            if (!pool.empty() && !configuration.pools.count(pool))
-                unknown.push_back(
-                    fmt::format("[step {}] names pool {}, which the configuration does not have", i + 1, pool));
-        }
-        if (!step.zone.empty() && !configuration.zones.count(step.zone))
-            unknown.push_back(
-                fmt::format("[step {}] names zone {}, which the configuration does not have", i + 1, step.zone));
+        for (const auto& pool : { step.fromPool, step.toPool, step.pool })
+            if (!pool.empty() && pools.count(pool) == 0)
+                unknown.push_back(fmt::format("[step {}] names pool {}, which the fleet does not have", i + 1, pool));
+        if (!step.zone.empty() && zones.count(step.zone) == 0)
+            unknown.push_back(fmt::format("[step {}] names zone {}, which the fleet does not have", i + 1, step.zone));
     }
     return unknown;
 }
--- a/shallotdrift/src/Settings/KeyReference.cpp
+++ b/shallotdrift/src/Settings/KeyReference.cpp
@@ -31,18 +31,8 @@
 std::vector<KeyReference> settingsReference()
 {
     std::vector<KeyReference> rows;
-    for (const auto& section : internal::entrySections())
-        addRows("settings", section, rows);
-    rows.push_back({ "settings", "[peers]", "ENTRY", internal::ValueForm::address().allowed(), "-",
-        "peer address of another entry instance, used until the log tells more" });
     for (const auto& section : internal::nodeSections())
-        addRows("node settings", section, rows);
-    addRows("configuration", internal::zoneSection(), rows);
-    addRows("configuration", internal::poolSection(), rows);
-    addRows("configuration", internal::kindSection(), rows);
-    addRows("configuration", internal::teamSection(), rows);
-    addRows("configuration", internal::lendingSection(), rows);
-    addRows("configuration", internal::limitsSection(), rows);
+        addRows("settings", section, rows);
     addRows("handbook", internal::handbookSection(), rows);
     const auto& steps = internal::stepSections();
     const auto& actions = steps.front().keys.front().form.choices;
--- a/shallotdrift/src/Settings/KeyReference.h
+++ b/shallotdrift/src/Settings/KeyReference.h
@@ -5,9 +5,9 @@
 
 namespace shallotdrift {
 
-// One key of the settings, the configuration or a handbook entry, as docs/configuration.md lists it.
+// One key of the settings or of a handbook entry, as docs/configuration.md lists it.
 struct KeyReference {
-    std::string file; // "settings", "configuration" or "handbook"
+    std::string file; // "settings" or "handbook"
     std::string section;
     std::string key;
     std::string allowed;
@@ -15,7 +15,7 @@
     std::string meaning;
 };
 
-// All keys of the three kinds of files, from the tables that the parsers use.
+// All keys of both kinds of files, from the tables that the parsers use.
 std::vector<KeyReference> settingsReference();
 
 } // namespace shallotdrift
--- a/shallotdrift/src/Settings/NodeSettings.cpp
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -1,6 +1,6 @@
 #include "NodeSettings.h"
 
-#include "EntrySettings.h"
+#include "SettingsFile.h"
 #include "SettingsTables.h"
 
 #include <fmt/format.h>
@@ -26,8 +26,8 @@
                 { "ip", &S::ip, F::text(), required, "IP address at which the other entry instances reach it" },
                 { "caller_address", &S::callerAddress, F::address(), required, "listener for callers" },
                 { "ready_address", &S::readyAddress, F::address(), required, "listener for checks of readiness" },
-                { "first_internal_port", &S::firstInternalPort, F::whole(1, 65534), required,
-                    "port of the listener for the other entry instances; the next one serves metrics" },
+                { "first_internal_port", &S::firstInternalPort, F::whole(1, 65533), required,
+                    "port of the listener for the other entry instances; the next ones serve metrics and operators" },
                 { "log_level", &S::logLevel, F::choice({ "trace", "debug", "info", "warning", "error" }), optional,
                     "least severe log lines that are written" },
             },
@@ -40,6 +40,17 @@
                     "an entry that is silent for so long loses its partitions to others" },
             },
             required },
+        { "operators",
+            {
+                { "served", &S::operatorsServed, F::yesNo(), optional, "operators can call this entry instance" },
+                { "address", &S::operatorAddress, F::address(), optional,
+                    "listener for operators; the third internal port on 127.0.0.1 when not given" },
+                { "certificate_file", &S::certificateFile, F::path(), optional,
+                    "PEM certificate of the operator listener" },
+                { "key_file", &S::keyFile, F::path(), optional, "PEM key of the operator listener" },
+                { "client_authority_file", &S::clientAuthorityFile, F::path(), optional,
+                    "PEM certificates of the authority that signs operators' certificates" },
+            } },
         { "instances",
             {
                 { "address", &S::instancesAddress, F::address(), optional, "the platform's interface to instances" },
@@ -79,6 +90,25 @@
     return sections;
 }
 
+static void checkOperatorTrust(const IniText& text, const NodeSettings& settings, Mistakes& mistakes)
+{
+    const auto* section = text.find("operators");
+    if (!section)
+        return;
+    bool all = !settings.certificateFile.empty() && !settings.keyFile.empty() && !settings.clientAuthorityFile.empty();
+    bool none = settings.certificateFile.empty() && settings.keyFile.empty() && settings.clientAuthorityFile.empty();
+    if (!all && !none)
+        mistakes.add(*section, "certificate_file, key_file and client_authority_file are given all three or none");
+    for (const auto& key : section->keys) {
+        if (key.name != "address" || !internal::isAddress(key.value))
+            continue;
+        if (!all && !internal::isLoopbackAddress(key.value))
+            mistakes.add(*section, key, "without TLS files a loopback address is required");
+        if (key.value == settings.callerAddress || key.value == settings.readyAddress)
+            mistakes.add(*section, key, "the address is already that of another listener");
+    }
+}
+
 Result<NodeSettings> parseNodeSettings(std::string_view ini, std::string_view source)
 {
     NodeSettings settings;
@@ -94,11 +124,13 @@
             internal::readSection(section, table->keys, settings, mistakes);
         else
             mistakes.add(section,
-                "unknown section; known sections are [node], [store], [instances], [planning], [advice] and [bounds]");
+                "unknown section; known sections are [node], [store], [operators], [instances], [planning], [advice] "
+                "and [bounds]");
     }
     for (const auto& table : tables)
         if (table.presence == Presence::Required && !text.find(table.section))
             mistakes.add(text.lineCount(), fmt::format("[{}]", table.section), "the section is missing");
+    checkOperatorTrust(text, settings, mistakes);
     if (!mistakes.empty())
         return boost::leaf::new_error(mistakes.error(ResultCode::InvalidSettings));
     return settings;
--- a/shallotdrift/src/Settings/NodeSettings.h
+++ b/shallotdrift/src/Settings/NodeSettings.h
@@ -9,7 +9,7 @@
 
 namespace shallotdrift {
 
-// Settings of an entry instance that runs on the users' platform.
+// Settings of one entry instance's process.
 struct NodeSettings {
     // [node]
     std::string name;
@@ -17,7 +17,7 @@
     std::string ip;
     std::string callerAddress; // IP:port of the callers' listener
     std::string readyAddress; // IP:port where the platform checks readiness
-    uint32_t firstInternalPort = 0; // the peers' listener; the next one serves metrics
+    uint32_t firstInternalPort = 0; // the peers' listener; the next ones serve metrics and operators
     std::string logLevel = "info";
 
     // [store]
@@ -25,6 +25,13 @@
     uint32_t storePartitions = 24;
     Milliseconds membershipTime { 2000 }; // without a sign of life for so long, an entry loses its partitions
 
+    // [operators]: either all three files or none
+    bool operatorsServed = true;
+    std::string operatorAddress; // empty: the third internal port on the loopback address
+    std::string certificateFile;
+    std::string keyFile;
+    std::string clientAuthorityFile;
+
     // [instances]
     std::string instancesAddress;
 
--- a/standin/UsersRole.cpp
+++ b/standin/UsersRole.cpp
@@ -147,10 +147,18 @@
                 store_.faults().loseEvery = 0;
             reply({ 200,
                 json { { "starts", ledger_.starts }, { "twice", ledger_.twice }, { "moves", moves_ },
-                    { "killed", killed_ } }
+                    { "killed", killed_ }, { "serving", serving() } }
                     .dump() });
         }
 
+        size_t serving() const
+        {
+            size_t count = 0;
+            for (const auto& [id, instance] : instances_)
+                count += instance.worker ? 1 : 0;
+            return count;
+        }
+
         void onInstances(const HttpMessage& request, const HttpServer::Reply& reply)
         {
             if (platform::isListCall(request)) {
--- /dev/null
+++ b/test/OperatorDeskTest.cpp
@@ -0,0 +1,171 @@
+#include "FleetBench.h"
+#include "Story.h"
+
+#include "shallotdrift/Operators.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace shallotdrift {
+
+class OperatorDeskTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(OperatorDeskTest);
+    CPPUNIT_TEST(repeatedChangesAreAnsweredAlike);
+    CPPUNIT_TEST(aNewManagerKnowsHandbookAndAudit);
+    CPPUNIT_TEST(theAuditTrailIsBounded);
+    CPPUNIT_TEST(reviewsFollowTheNewestVersion);
+    CPPUNIT_TEST(brokenCallsAreToldApart);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr const char* entry
+        = "[handbook]\ntitle = t\nwhen = w\n[step 1]\naction = lend\nto = checks\ncount = 1\n";
+
+    template <typename Request> static Request withChange(const std::string& id, const std::string& actor)
+    {
+        Request request;
+        request.mutable_change()->set_change_id(id);
+        request.mutable_change()->set_operator_name(actor);
+        return request;
+    }
+
+    struct Desk {
+        Desk()
+        {
+            bench.required["checks"] = 5;
+            bench.run(5);
+        }
+
+        template <typename Request> proto::ChangeReply change(const char* call, const Request& request)
+        {
+            now += Milliseconds { 10 };
+            auto answer = desk.handle(call, request.SerializeAsString(), now);
+            CPPUNIT_ASSERT(answer.has_value());
+            proto::ChangeReply reply;
+            CPPUNIT_ASSERT(reply.ParseFromString(answer->reply));
+            return reply;
+        }
+
+        proto::AuditReply audit(uint32_t limit)
+        {
+            proto::AuditRequest request;
+            request.set_limit(limit);
+            proto::AuditReply reply;
+            reply.ParseFromString(desk.handle("Audit", request.SerializeAsString(), now)->reply);
+            return reply;
+        }
+
+        proto::ChangeReply lend(const std::string& id, uint32_t count, const std::string& actor = "ana")
+        {
+            auto request = withChange<proto::LendRequest>(id, actor);
+            request.set_to_pool("checks");
+            request.set_count(count);
+            return change("Lend", request);
+        }
+
+        proto::ChangeReply propose(const std::string& id, uint64_t expected, const std::string& actor)
+        {
+            auto request = withChange<proto::ProposeHandbookRequest>(id, actor);
+            request.set_name("flood");
+            request.set_expected_version(expected);
+            request.set_ini(entry);
+            return change("ProposeHandbook", request);
+        }
+
+        proto::ChangeReply review(const std::string& id, uint64_t version, const std::string& actor)
+        {
+            auto request = withChange<proto::ReviewHandbookRequest>(id, actor);
+            request.set_name("flood");
+            request.set_version(version);
+            request.set_approved(true);
+            return change("ReviewHandbook", request);
+        }
+
+        FleetBench bench;
+        OperatorDesk desk { bench.planner, "e1" };
+        WallTime now = wallTimeFromUnix(Milliseconds { 1700000000000 });
+    };
+
+    static ResultCode codeOf(const proto::ChangeReply& reply) { return static_cast<ResultCode>(reply.result_code()); }
+
+public:
+    // Guards against a change that takes effect twice when its answer was lost, and ids shared by two operators.
+    void repeatedChangesAreAnsweredAlike()
+    {
+        Desk desk;
+        auto first = desk.lend("c-1", 1);
+        CPPUNIT_ASSERT(codeOf(first) == ResultCode::Ok);
+        auto second = desk.lend("c-1", 2);
+        CPPUNIT_ASSERT_EQUAL(first.SerializeAsString(), second.SerializeAsString());
+        CPPUNIT_ASSERT_EQUAL(1U, desk.desk.directives().loans().front().count);
+        CPPUNIT_ASSERT(codeOf(desk.lend("c-1", 1, "bea")) == ResultCode::Conflict);
+        Section refused("a refusal is kept, too");
+        CPPUNIT_ASSERT(codeOf(desk.lend("c-2", 99)) == ResultCode::BudgetExceeded);
+        CPPUNIT_ASSERT(codeOf(desk.lend("c-2", 1)) == ResultCode::BudgetExceeded);
+        CPPUNIT_ASSERT(codeOf(desk.lend("", 1)) == ResultCode::NotAuthorized);
+    }
+
+    // Guards against a change of manager after which a reviewed entry cannot be invoked, or a change is made again.
+    void aNewManagerKnowsHandbookAndAudit()
+    {
+        Desk desk;
+        desk.propose("c-1", 0, "ana");
+        desk.review("c-2", 1, "bea");
+        desk.lend("c-3", 1);
+        Desk next;
+        for (const auto& [key, value] : desk.desk.takeRecords())
+            CPPUNIT_ASSERT_MESSAGE(key, next.desk.restore(key, value));
+        CPPUNIT_ASSERT(desk.desk.takeRecords().empty());
+        CPPUNIT_ASSERT_EQUAL(desk.audit(50).SerializeAsString(), next.audit(50).SerializeAsString());
+        CPPUNIT_ASSERT_EQUAL(3, next.audit(50).events_size());
+        next.lend("c-3", 1);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, next.desk.directives().loans().size());
+        auto invoke = withChange<proto::InvokeRequest>("c-4", "ana");
+        invoke.set_name("flood");
+        CPPUNIT_ASSERT(codeOf(next.change("Invoke", invoke)) == ResultCode::Ok);
+        Section broken("a broken record is told apart");
+        CPPUNIT_ASSERT(!next.desk.restore("change/c-9", "[1]"));
+        CPPUNIT_ASSERT(!next.desk.restore("handbook/x", "{"));
+    }
+
+    // Guards against an audit trail that grows until no manager can read it back in time.
+    void theAuditTrailIsBounded()
+    {
+        Desk desk;
+        for (int i = 0; i < 520; ++i)
+            desk.lend("c-" + std::to_string(i), 99);
+        CPPUNIT_ASSERT_EQUAL(500, desk.audit(2000).events_size());
+        CPPUNIT_ASSERT_EQUAL(std::string("c-519"), desk.audit(1).events(0).change_id());
+        size_t removed = 0;
+        for (const auto& [key, value] : desk.desk.takeRecords())
+            removed += value.empty() ? 1 : 0;
+        CPPUNIT_ASSERT_EQUAL(size_t { 20 }, removed);
+    }
+
+    // Guards against a review of a text that the reviewer has not read, and against racing authors.
+    void reviewsFollowTheNewestVersion()
+    {
+        Desk desk;
+        CPPUNIT_ASSERT(codeOf(desk.propose("c-1", 0, "ana")) == ResultCode::Ok);
+        CPPUNIT_ASSERT(codeOf(desk.propose("c-2", 0, "bea")) == ResultCode::StaleEpoch);
+        CPPUNIT_ASSERT(codeOf(desk.propose("c-3", 1, "bea")) == ResultCode::Ok);
+        CPPUNIT_ASSERT(codeOf(desk.review("c-4", 1, "ana")) == ResultCode::StaleEpoch);
+        CPPUNIT_ASSERT(codeOf(desk.review("c-5", 2, "bea")) == ResultCode::SameAuthorAndReviewer);
+        CPPUNIT_ASSERT(codeOf(desk.review("c-6", 2, "ana")) == ResultCode::Ok);
+        CPPUNIT_ASSERT(codeOf(desk.review("c-7", 2, "cleo")) == ResultCode::WrongState);
+        auto invoke = withChange<proto::InvokeRequest>("c-8", "ana");
+        invoke.set_name("flood");
+        invoke.set_version(1);
+        CPPUNIT_ASSERT(codeOf(desk.change("Invoke", invoke)) == ResultCode::NotReviewed);
+    }
+
+    // Guards against a call of another version, or a torn request, that ends the manager.
+    void brokenCallsAreToldApart()
+    {
+        Desk desk;
+        CPPUNIT_ASSERT(!desk.desk.handle("Reboot", {}, desk.now).has_value());
+        CPPUNIT_ASSERT(!desk.desk.handle("Lend", "\xff\xff", desk.now).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OperatorDeskTest);
+
+} // namespace shallotdrift
