--- a/shallotdrift/src/Instances/InstancePlanner.cpp
+++ b/shallotdrift/src/Instances/InstancePlanner.cpp
@@ -228,13 +228,16 @@
         const auto& intent = item->second;
         auto instance = instances_.find(item->first);
         bool over = instance == instances_.end() || instance->second.state == FleetInstance::State::Down;
-        if (intent.orderedAt)
+        bool move = intent.order.type == InstanceOrder::Type::Move;
+        if (intent.orderedAt) {
+            over = over || now - *intent.orderedAt > (move ? options_.orderLife : options_.maintenanceLife);
+            // The list shows it at work in its new pool; it may be needed elsewhere already.
             over = over
-                || now - *intent.orderedAt > (intent.order.type == InstanceOrder::Type::Maintain
-                           ? options_.maintenanceLife
-                           : options_.orderLife);
+                || (move && instance->second.state == FleetInstance::State::Up
+                    && instance->second.pool == intent.order.pool);
+        }
         // A move that cannot begin because the instance does not become empty is given up; its pool may need it again.
-        else if (intent.order.type == InstanceOrder::Type::Move && now - intent.since > options_.emptyingTime)
+        else if (move && now - intent.since > options_.emptyingTime)
             over = true;
         item = over ? intents_.erase(item) : std::next(item);
     }
@@ -392,10 +395,26 @@
     if (wanted <= total || wanted == least)
         return;
     double share = total <= least ? 0 : static_cast<double>(total - least) / static_cast<double>(wanted - least);
+    std::vector<std::pair<double, Pool*>> remainders;
+    size_t given = 0;
     for (auto& [name, pool] : state_) {
+        auto rule = pools_.find(name);
+        if (rule == pools_.end() || rule->second.standby)
+            continue;
         auto base = std::min(pool.least, pool.want);
-        pool.want = base + static_cast<size_t>(std::floor(share * static_cast<double>(pool.want - base)));
+        double part = share * static_cast<double>(pool.want - base);
+        pool.want = base + static_cast<size_t>(std::floor(part));
+        given += pool.want;
+        remainders.emplace_back(part - std::floor(part), &pool);
     }
+    // What rounding has left goes to the largest remainders.
+    std::sort(remainders.begin(), remainders.end(),
+        [](const auto& left, const auto& right) { return left.first > right.first; });
+    for (auto& [remainder, pool] : remainders)
+        if (given < total && remainder > 0) {
+            ++pool->want;
+            ++given;
+        }
 }
 
 // Instances for pools that need more: its own that are being emptied, idle ones that another pool does not need, those
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -6,16 +6,41 @@
 
 namespace shallotdrift {
 
+bool ServiceScheduler::isUsable(const Worker& worker, Instant now) const
+{
+    return worker.listed && worker.reported && !worker.silent && !worker.info.draining && !worker.cordoned
+        && worker.quarantinedUntil <= now && now - worker.answeredAt < options_.contactTimeout;
+}
+
 std::vector<Worker*> ServiceScheduler::usableWorkers(Instant now)
 {
     std::vector<Worker*> usable;
     for (auto& [id, worker] : workers_)
-        if (worker.listed && worker.reported && !worker.silent && !worker.info.draining && !worker.cordoned
-            && worker.quarantinedUntil <= now && now - worker.answeredAt < options_.contactTimeout)
+        if (isUsable(worker, now))
             usable.push_back(&worker);
     return usable;
 }
 
+ServiceScheduler::Capacity ServiceScheduler::capacity(Instant now) const
+{
+    Capacity capacity;
+    for (const auto& [id, worker] : workers_) {
+        if (!worker.listed)
+            continue;
+        auto cores = static_cast<double>(worker.info.capacity.milliCores) / 1000;
+        if (isUsable(worker, now)) {
+            capacity.usable += cores;
+            capacity.used += static_cast<double>(worker.used.milliCores) / 1000;
+        } else if (worker.cordoned || worker.info.draining)
+            capacity.leaving += cores;
+        else if (worker.quarantinedUntil > now)
+            capacity.quarantined += cores;
+        else
+            capacity.silent += cores;
+    }
+    return capacity;
+}
+
 // Lasting tasks first, since they earn all the time; then by priority and objective. Jobs past their objective come
 // last: they earn little, and running them first would make the others late as well.
 std::vector<Job*> ServiceScheduler::jobsInOrder(const Now& now)
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -185,6 +185,16 @@
     };
     Demand demand(const Now&) const;
 
+    // Cores of the listed workers by what may be placed there, for the log.
+    struct Capacity {
+        double usable = 0;
+        double used = 0; // of the usable ones
+        double leaving = 0; // cordoned or draining
+        double silent = 0; // do not answer, or have not answered yet
+        double quarantined = 0;
+    };
+    Capacity capacity(Instant now) const;
+
 private:
     struct Ended {
         JobStatus status = JobStatus::Completed;
@@ -215,6 +225,7 @@
     bool placeGang(Job&, Occurrence&, uint32_t step, std::vector<Worker*>&, std::vector<StartOrder>&);
     Worker* choose(const Job&, const Occurrence&, uint32_t step, const std::vector<Worker*>&) const;
     StartOrder orderFor(const Job&, const TaskId&, const JobTask&) const;
+    bool isUsable(const Worker&, Instant now) const;
     std::vector<Worker*> usableWorkers(Instant now);
     std::vector<Job*> jobsInOrder(const Now&);
     WallTime objectiveOf(const Job&) const;
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -9,6 +9,8 @@
 
 namespace shallotdrift::internal {
 
+static constexpr Milliseconds shortageLogInterval { 500 };
+
 static constexpr Milliseconds readTime { 1500 };
 static constexpr Milliseconds retryTime { 200 };
 static constexpr Milliseconds tickInterval { 100 };
@@ -379,6 +381,23 @@
     pumping_ = false;
 }
 
+// While tasks wait: what keeps them from being placed.
+void OwnedPartition::logShortage(const Now& now)
+{
+    if (now.steady - loggedAt_ < shortageLogInterval)
+        return;
+    loggedAt_ = now.steady;
+    for (const auto& [name, entry] : services_) {
+        auto waiting = entry->scheduler.demand(now).waiting;
+        if (waiting <= 0)
+            continue;
+        auto capacity = entry->scheduler.capacity(now.steady);
+        logger("owner")->info("service={} event=short waiting={:.0f} usable={:.0f} used={:.0f} leaving={:.0f} "
+                              "silent={:.0f} quarantined={:.0f}",
+            name, waiting, capacity.usable, capacity.used, capacity.leaving, capacity.silent, capacity.quarantined);
+    }
+}
+
 void OwnedPartition::tick()
 {
     auto now = currentTime();
@@ -393,6 +412,7 @@
     if (storeStalled(now.steady))
         refuseSubmissions();
     pump();
+    logShortage(now);
     timer_.expires_after(tickInterval);
     timer_.async_wait([this, alive = alive_](std::error_code error) {
         if (*alive && !error)
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -67,6 +67,7 @@
     void refuseSubmissions();
     void later();
     void tick();
+    void logShortage(const Now&);
     void refused(const char* by);
     bool knows(const std::string& job) const;
 
@@ -75,6 +76,7 @@
     uint64_t token_;
     std::function<void()> onRefused_;
     PartitionWriter writer_;
+    Instant loggedAt_ {};
     asio::steady_timer timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     Instant startedAt_ = BootClock::now();
--- a/test/InstancePlannerTest.cpp
+++ b/test/InstancePlannerTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(wavesWaitForInstancesThatAreDown);
     CPPUNIT_TEST(loansAreKept);
     CPPUNIT_TEST(drainedInstancesStayOut);
+    CPPUNIT_TEST(movedInstancesAreFreeOnArrival);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -35,6 +36,23 @@
         CPPUNIT_ASSERT_EQUAL(before, bench.count("checks"));
     }
 
+    // Guards against instances that cannot be ordered again although the list shows them at work in their new pool.
+    void movedInstancesAreFreeOnArrival()
+    {
+        FleetBench bench(0);
+        bench.required = { { "checks", 5 }, { "ledgers", 30 } };
+        bench.run(40);
+        auto home = bench.count("office");
+        CPPUNIT_ASSERT(home >= 1);
+        bench.required["ledgers"] = 0;
+        int steps = 0;
+        while (bench.count("office") == home && steps++ < 60)
+            bench.step();
+        bench.required["ledgers"] = 200;
+        bench.run(5); // half a second: less than an order counts as under way
+        CPPUNIT_ASSERT_EQUAL(size_t { 0 }, bench.count("office"));
+    }
+
     // Guards against drained instances that the next rise in demand brings back, or that are ordered away while busy.
     void drainedInstancesStayOut()
     {
