--- a/review/standin/lost-room.cpp
+++ b/review/standin/lost-room.cpp
@@ -23,7 +23,7 @@
 {
     openRecord(arguments[1]);
     Installation installation(workerCount, 16000, "b");
-    auto& worker = *installation.workers.back();
+    auto& worker = *installation.workers().back();
     if (!installation.waitUntilReady(15))
         return 2;
     sleepFor(4000); // until the partitions are spread over all entries
--- a/review/standin/many-ends.cpp
+++ b/review/standin/many-ends.cpp
@@ -43,7 +43,7 @@
         installation.store->setDown(true);
         size_t most = 0;
         for (auto end = after(4000); Clock::now() < end; sleepFor(20))
-            for (auto& worker : installation.workers)
+            for (auto& worker : installation.workers())
                 most = std::max(most, worker->unnotedEnds());
         record("most ends on one worker that no owner has taken note of: " + std::to_string(most));
         installation.store->setDown(false);
--- a/review/standin/same-id.cpp
+++ b/review/standin/same-id.cpp
@@ -30,7 +30,7 @@
         });
     sleepFor(4000);
     for (int victim = 0; elapsedSeconds() < trafficSeconds; ++victim) {
-        auto& worker = *installation.workers[static_cast<size_t>(victim % workerCount)];
+        auto& worker = *installation.workers()[static_cast<size_t>(victim % workerCount)];
         if (troubled())
             worker.crash();
         sleepFor(crashMilliseconds);
--- a/review/standin/trial.cpp
+++ b/review/standin/trial.cpp
@@ -485,12 +485,14 @@
     return { 200, Json { { "owners", rows } }.dump() };
 }
 
-std::string Store::ownerOfJobs()
+std::string Store::ownerOfJobs() { return ownerOf(jobsPartition_); }
+
+std::string Store::ownerOf(int number)
 {
     std::lock_guard<std::mutex> lock(mutex_);
     for (const auto& [name, group] : groups_)
         for (const auto& [part, owner] : group.owners)
-            if (part.first == "keyed.jobs" && part.second == jobsPartition_)
+            if (part.first == "keyed.jobs" && part.second == number)
                 return owner;
     return {};
 }
@@ -907,6 +909,153 @@
     return { request.target == "/shallotdrift/pace" ? 200 : 404, Json { { "ClockMs", clock() } }.dump() };
 }
 
+// Fleet
+
+static constexpr char serviceName[] = "desk";
+static constexpr char spareName[] = "spare";
+static constexpr int migrationMilliseconds = 1500;
+static constexpr int maintenanceMilliseconds = 2000;
+
+Fleet::Fleet(int port, int firstWorkerPort, int workers, int spares, int cpu, const std::string& lastKind, Store& store,
+    Ledger& ledger)
+    : firstWorkerPort_(firstWorkerPort)
+    , cpu_(cpu)
+    , lastKind_(lastKind)
+    , lastWorker_(static_cast<size_t>(workers) - 1)
+    , store_(store)
+    , ledger_(ledger)
+    , machines_(static_cast<size_t>(workers + spares))
+    , workers_(machines_.size())
+{
+    for (size_t i = 0; i < machines_.size(); ++i) {
+        machines_[i].pool = i <= lastWorker_ ? serviceName : spareName;
+        if (i <= lastWorker_)
+            startWorker(i);
+    }
+    server_ = std::make_unique<Server>(port, [this](const Request& request) { return handle(request); });
+    ticker_ = std::thread([this] {
+        while (!stopping_) {
+            tick();
+            sleepFor(10);
+        }
+    });
+}
+
+Fleet::~Fleet()
+{
+    stopping_ = true;
+    ticker_.join();
+    server_.reset();
+}
+
+void Fleet::startWorker(size_t index)
+{
+    auto& machine = machines_[index];
+    auto id = "i-" + std::to_string(1000 * machine.life + static_cast<int>(index));
+    workers_[index] = std::make_unique<Worker>(id, "m-" + std::to_string(index), index == lastWorker_ ? lastKind_ : "a",
+        firstWorkerPort_ + static_cast<int>(index), cpu_, machine.pool, store_, ledger_);
+}
+
+void Fleet::heartbeat()
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (auto& worker : workers_)
+        if (worker)
+            worker->heartbeat();
+}
+
+void Fleet::tick()
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (size_t i = 0; i < machines_.size(); ++i) {
+        auto& machine = machines_[i];
+        if (machine.state == "up" || machine.readyAt > Clock::now())
+            continue;
+        machine.state = "up";
+        ++machine.life;
+        if (machine.pool != spareName)
+            startWorker(i);
+    }
+}
+
+std::vector<FleetOrder> Fleet::orders()
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    return orders_;
+}
+
+void Fleet::requestWave(uint64_t number, const std::string& machine)
+{
+    auto machinesOfWave = Json::array({ machine });
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        for (size_t i = 0; i < machines_.size(); ++i) // and one that is off
+            if (machines_[i].pool == spareName && machines_[i].state == "up") {
+                machinesOfWave.push_back("m-" + std::to_string(i));
+                break;
+            }
+    }
+    record("operator: wave " + std::to_string(number) + " of " + machinesOfWave.dump());
+    store_.put("keyed.op", "wave/" + std::to_string(number),
+        Json { { "Wave", number }, { "Machines", machinesOfWave }, { "DurationS", 10 }, { "MaxCount", 2 } }.dump());
+}
+
+Response Fleet::handle(const Request& request)
+{
+    if (request.target.rfind("/shallotdrift/machines", 0) == 0) {
+        std::lock_guard<std::mutex> lock(mutex_);
+        auto list = Json::array();
+        for (size_t i = 0; i < machines_.size(); ++i)
+            list.push_back({ { "Machine", "m-" + std::to_string(i) }, { "Pool", machines_[i].pool },
+                { "State", workers_[i] && !workers_[i]->up() ? "down" : machines_[i].state }, { "Zone", "a" },
+                { "Labels", { i == lastWorker_ ? lastKind_ : "a", "r1-1" } },
+                { "Capacity", { { "Cpu", cpu_ }, { "MemMb", 65536 }, { "Gpu", 0 } } },
+                { "Id", workers_[i] ? "i-" + std::to_string(1000 * machines_[i].life + static_cast<int>(i)) : "" } });
+        return { 200, Json { { "Machines", list }, { "NextToken", nullptr } }.dump() };
+    }
+    bool move = request.target == "/shallotdrift/machine-move";
+    auto body = Json::parse(request.body, nullptr, false);
+    if ((!move && request.target != "/shallotdrift/machine-upkeep") || !body.is_object())
+        return { 400, "{}" };
+    FleetOrder order;
+    order.at = elapsedSeconds();
+    order.machine = body.value("Machine", std::string());
+    order.pool = body.value("Pool", std::string());
+    order.move = move;
+    order.holder = request.headers.at("duty-holder");
+    order.token = std::stoull(request.headers.at("fencing-token"));
+    order.calmFor = calmFor ? calmFor(order.holder) : 0;
+    auto index = std::stoul(order.machine.substr(2));
+    std::unique_ptr<Worker> ended;
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto& machine = machines_.at(index);
+    if (order.token < machine.token)
+        order.status = 409;
+    else {
+        machine.token = order.token;
+        if ((move && machine.pool == order.pool) || (!move && machine.wave == body.value("Wave", uint64_t { 0 })))
+            order.status = 200;
+        else if (machine.state != "up")
+            order.status = 409;
+        else {
+            order.status = 200;
+            if (workers_[index]) {
+                workers_[index]->crash();
+                store_.erase("keyed.servers", "i-" + std::to_string(1000 * machine.life + static_cast<int>(index)));
+                workers_[index].reset();
+            }
+            machine.state = move ? "moving" : "upkeep";
+            machine.readyAt = after(move ? migrationMilliseconds : maintenanceMilliseconds);
+            if (move)
+                machine.pool = order.pool;
+            else
+                machine.wave = body.value("Wave", uint64_t { 0 });
+        }
+    }
+    orders_.push_back(order);
+    return { order.status, Json { { "Reason", order.status == 200 ? "" : order.token < machine.token ? "fence" : "busy" } }.dump() };
+}
+
 // Entries
 
 Entry::Entry(int number, int firstPort, int storePort, int cloudPort, const std::string& directory)
@@ -960,7 +1109,6 @@
 
 // Installation
 
-static constexpr char serviceName[] = "desk";
 static constexpr int portCount = 200;
 
 static bool arePortsFree(int first)
@@ -978,8 +1126,7 @@
     return true;
 }
 
-Installation::Installation(int workerCount, int cpuOfWorker, const std::string& lastKind)
-    : cpu_(cpuOfWorker)
+Installation::Installation(int workerCount, int cpuOfWorker, const std::string& lastKind, int spares)
 {
     ::signal(SIGPIPE, SIG_IGN);
     char name[] = "/tmp/trial-XXXXXX";
@@ -993,29 +1140,25 @@
         { "Type", "non_idempotent" }, { "TimeoutMs", 3000 }, { "TargetLatencyMs", 600 }, { "Priority", 0 },
         { "Service", serviceName }, { "MaxAttempts", 4 }, { "Stretch", 1.6 } };
     Json service { { "Name", serviceName }, { "AdmissionCheck", true } };
+    Json spare { { "Name", spareName }, { "Standby", true } };
+    auto services = Json::array({ service });
+    if (spares > 0)
+        services.push_back(spare);
     store->put("keyed.op", "config",
-        Json { { "Version", 1 }, { "Routes", { route } }, { "Services", { service } }, { "Limits", Json::object() } }
-            .dump());
-    for (int i = 0; i < workerCount; ++i)
-        workers.push_back(std::make_unique<Worker>("i-" + std::to_string(1000 + i), "m-" + std::to_string(i),
-            i + 1 == workerCount ? lastKind : "a", basePort + 100 + i, cpuOfWorker, serviceName, *store, ledger));
-    cloud_ = std::make_unique<Server>(basePort + 1, [this](const Request& request) -> Response {
-        if (request.target.rfind("/shallotdrift/machines", 0) != 0)
-            return { 400, "{}" };
-        auto machines = Json::array();
-        for (size_t i = 0; i < workers.size(); ++i)
-            machines.push_back({ { "Machine", "m-" + std::to_string(i) }, { "Pool", serviceName },
-                { "State", workers[i]->up() ? "up" : "down" }, { "Zone", "a" }, { "Labels", { workers[i]->kind(), "r1-1" } },
-                { "Capacity", { { "Cpu", cpu_ }, { "MemMb", 65536 }, { "Gpu", 0 } } },
-                { "Id", "i-" + std::to_string(1000 + i) } });
-        return { 200, Json { { "Machines", machines }, { "NextToken", nullptr } }.dump() };
-    });
+        Json { { "Version", 1 }, { "Routes", { route } }, { "Services", services }, { "Limits", Json::object() } }.dump());
+    fleet = std::make_unique<Fleet>(
+        basePort + 1, basePort + 100, workerCount, spares, cpuOfWorker, lastKind, *store, ledger);
+    fleet->calmFor = [this](const std::string& holder) {
+        auto* entry = entryOf(holder);
+        if (!entry)
+            return 0.0;
+        return elapsedSeconds() - std::max(entry->startedAt, entry->stoppedAt);
+    };
     ticker_ = std::thread([this] {
         for (int count = 0; !stopping_; ++count) {
             store->tick();
             if (count % 150 == 0) // the check-in interval
-                for (auto& worker : workers)
-                    worker->heartbeat();
+                fleet->heartbeat();
             sleepFor(10);
         }
     });
@@ -1030,6 +1173,7 @@
     entries.clear();
     stopping_ = true;
     ticker_.join();
+    fleet.reset();
     std::error_code ignored;
     std::filesystem::remove_all(directory, ignored);
 }
@@ -1047,9 +1191,11 @@
     return true;
 }
 
-Entry* Installation::owner()
+Entry* Installation::owner() { return entryOf(store->ownerOfJobs()); }
+Entry* Installation::fleetOwner() { return entryOf(store->ownerOf(0)); }
+
+Entry* Installation::entryOf(const std::string& member)
 {
-    auto member = store->ownerOfJobs();
     for (auto& entry : entries)
         if (member.rfind("127.0.0.1:" + std::to_string(entry->internalPort()) + "-", 0) == 0)
             return entry.get();
--- a/review/standin/trial.h
+++ b/review/standin/trial.h
@@ -83,6 +83,7 @@
     void erase(const std::string& topic, const std::string& key);
     // Member that owns the partition of the state topic to which a job was appended last; empty if there is none.
     std::string ownerOfJobs();
+    std::string ownerOf(int partition);
     // While the store is down, it answers 503 and has done nothing; memberships wait.
     void setDown(bool);
     void tick(); // removes expired members
@@ -239,6 +240,8 @@
     int port() const { return firstPort_; }
     int internalPort() const { return firstPort_ + 2; }
     int number() const { return number_; }
+    double startedAt = 0;
+    double stoppedAt = 0; // of the last SIGTERM; 0: none
 
 private:
     int number_;
@@ -248,27 +251,81 @@
     int process_ = -1;
 };
 
+// An order that the platform's API for machines has received.
+struct FleetOrder {
+    double at = 0;
+    std::string machine;
+    std::string pool; // of a move
+    bool move = false;
+    std::string holder;
+    uint64_t token = 0;
+    int status = 0;
+    double calmFor = 0; // time for which the sending entry has been without disturbance
+};
+
+// The platform's machines and their API. Machines of the pool "spare" are off.
+class Fleet {
+public:
+    Fleet(int port, int firstWorkerPort, int workers, int spares, int cpu, const std::string& lastKind, Store&, Ledger&);
+    ~Fleet();
+    std::vector<FleetOrder> orders();
+    void requestWave(uint64_t number, const std::string& machine);
+    std::vector<std::unique_ptr<Worker>>& workers() { return workers_; } // by number of the machine; null while off
+    std::function<double(const std::string& holder)> calmFor;
+    void heartbeat();
+
+private:
+    struct Machine {
+        std::string pool;
+        std::string state = "up";
+        uint64_t token = 0;
+        int life = 1;
+        Instant readyAt {};
+        uint64_t wave = 0;
+    };
+    Response handle(const Request&);
+    void startWorker(size_t index);
+    void tick();
+
+    int firstWorkerPort_;
+    int cpu_;
+    std::string lastKind_;
+    size_t lastWorker_;
+    Store& store_;
+    Ledger& ledger_;
+    std::mutex mutex_;
+    std::vector<Machine> machines_;
+    std::vector<std::unique_ptr<Worker>> workers_;
+    std::vector<std::unique_ptr<Worker>> removed_;
+    std::map<uint64_t, std::string> waves_;
+    std::vector<FleetOrder> orders_;
+    std::atomic<bool> stopping_ { false };
+    std::thread ticker_;
+    std::unique_ptr<Server> server_;
+};
+
 // The whole installation: a store, a list of machines, workers of one service, three entries.
 class Installation {
 public:
     // The last worker is of the kind `lastKind`, the others are of the kind "a".
-    Installation(int workers, int cpuOfWorker, const std::string& lastKind = "a");
+    Installation(int workers, int cpuOfWorker, const std::string& lastKind = "a", int spares = 0);
     ~Installation();
     bool waitUntilReady(int seconds);
     Entry* owner(); // of the service; null while it is unknown
+    Entry* fleetOwner(); // the manager of the machines
 
     std::string directory;
     int basePort = 0;
     std::unique_ptr<Store> store;
     Ledger ledger;
-    std::vector<std::unique_ptr<Worker>> workers;
+    std::unique_ptr<Fleet> fleet;
+    std::vector<std::unique_ptr<Worker>>& workers() { return fleet->workers(); }
     std::vector<std::unique_ptr<Entry>> entries;
 
 private:
-    std::unique_ptr<Server> cloud_;
+    Entry* entryOf(const std::string& member);
     std::thread ticker_;
     std::atomic<bool> stopping_ { false };
-    int cpu_;
 };
 
 // Clients. Both write to the record.
