--- a/review/standin/many-ends.cpp
+++ b/review/standin/many-ends.cpp
@@ -16,8 +16,7 @@
         return 2;
     auto job = [](int count, int cpu, int milliseconds) {
         return Json { { "Spec", "cpu=" + std::to_string(cpu) + " ms=" + std::to_string(milliseconds) },
-            { "Steps",
-                { { { "Count", count }, { "Cpu", cpu }, { "MemMb", 16 }, { "EstimatedMs", milliseconds } } } } };
+            { "Steps", { { { "Count", count }, { "Cpu", cpu }, { "MemMb", 16 }, { "EstimatedMs", milliseconds } } } } };
     };
     if (!submit(installation, jobId(1), job(4, 1000, 200)))
         return 2;
@@ -27,7 +26,8 @@
     for (int i = 0; i < 6; ++i)
         clients.emplace_back([&, i] {
             for (int k = i; k < jobs; k += 6)
-                accepted += submit(installation, jobId(100 + static_cast<uint64_t>(k)), job(itemsOfJob, 20, 1200)) ? 1 : 0;
+                accepted
+                    += submit(installation, jobId(100 + static_cast<uint64_t>(k)), job(itemsOfJob, 20, 1200)) ? 1 : 0;
         });
     for (auto& client : clients)
         client.join();
@@ -60,7 +60,8 @@
     auto broken = installation.ledger.twice();
     for (const auto& line : broken)
         record("TWICE " + line);
-    auto result = "completed " + std::to_string(completed) + " of " + std::to_string(jobs) + " jobs; work items that broke TWICE: " + std::to_string(broken.size());
+    auto result = "completed " + std::to_string(completed) + " of " + std::to_string(jobs)
+        + " jobs; work items that broke TWICE: " + std::to_string(broken.size());
     record(result);
     puts(result.c_str());
     return broken.empty() ? (completed == jobs ? 0 : 2) : 1;
--- a/review/standin/trial.cpp
+++ b/review/standin/trial.cpp
@@ -1,7 +1,7 @@
 #include "trial.h"
 
-#include <arpa/inet.h>
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cerrno>
 #include <csignal>
 #include <cstdio>
@@ -134,7 +134,8 @@
     int on = 1;
     ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     auto address = loopback(port);
-    if (::bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 || ::listen(listener_, 256) != 0) {
+    if (::bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0
+        || ::listen(listener_, 256) != 0) {
         fprintf(stderr, "cannot listen on port %d\n", port);
         exit(2);
     }
@@ -211,8 +212,9 @@
             waitUntilClosed(descriptor);
         if (dark_ || response.silent)
             break;
-        auto bytes = "HTTP/1.1 " + std::to_string(response.status) + " X\r\nContent-Type: application/json\r\nContent-Length: "
-            + std::to_string(response.body.size()) + "\r\n\r\n" + response.body;
+        auto bytes = "HTTP/1.1 " + std::to_string(response.status)
+            + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(response.body.size())
+            + "\r\n\r\n" + response.body;
         if (!writeAll(descriptor, bytes))
             break;
     }
@@ -425,7 +427,8 @@
             .dump() };
 }
 
-// Deals all partitions evenly. A partition of a member stays with it until it joins with the new generation.
+// Deals all partitions evenly, from the member on that follows the one that was first the last time. A partition of a
+// member stays with it until it joins with the new generation.
 void Store::deal(Group& group)
 {
     ++group.generation;
@@ -434,7 +437,10 @@
     for (const auto& [id, member] : group.members)
         topics.insert(member.topics.begin(), member.topics.end());
     group.targets.clear();
-    auto next = group.members.begin();
+    auto next = group.members.upper_bound(group.first);
+    if (next == group.members.end())
+        next = group.members.begin();
+    group.first = next == group.members.end() ? std::string() : next->first;
     for (const auto& topic : topics)
         for (int number = 0; number < partitionCount && !group.members.empty(); ++number) {
             if (next == group.members.end())
@@ -695,7 +701,8 @@
 
 int64_t Worker::clock() const
 {
-    return 100000 + static_cast<int64_t>(clockRate * std::chrono::duration<double, std::milli>(Clock::now() - bornAt_).count());
+    return 100000
+        + static_cast<int64_t>(clockRate * std::chrono::duration<double, std::milli>(Clock::now() - bornAt_).count());
 }
 
 void Worker::heartbeat()
@@ -1025,6 +1032,9 @@
     order.holder = request.headers.at("duty-holder");
     order.token = std::stoull(request.headers.at("fencing-token"));
     order.calmFor = calmFor ? calmFor(order.holder) : 0;
+    for (const auto& earlier : orders())
+        if (earlier.machine == order.machine)
+            order.earlierCalmFor = calmFor ? calmFor(earlier.holder) : 0;
     auto index = std::stoul(order.machine.substr(2));
     std::unique_ptr<Worker> ended;
     std::lock_guard<std::mutex> lock(mutex_);
@@ -1053,7 +1063,12 @@
         }
     }
     orders_.push_back(order);
-    return { order.status, Json { { "Reason", order.status == 200 ? "" : order.token < machine.token ? "fence" : "busy" } }.dump() };
+    return { order.status,
+        Json { { "Reason",
+                   order.status == 200               ? ""
+                       : order.token < machine.token ? "fence"
+                                                     : "busy" } }
+            .dump() };
 }
 
 // Entries
@@ -1126,7 +1141,7 @@
     return true;
 }
 
-Installation::Installation(int workerCount, int cpuOfWorker, const std::string& lastKind, int spares)
+Installation::Installation(int workerCount, int cpuOfWorker, const std::string& lastKind, int spares, int entryCount)
 {
     ::signal(SIGPIPE, SIG_IGN);
     char name[] = "/tmp/trial-XXXXXX";
@@ -1145,7 +1160,8 @@
     if (spares > 0)
         services.push_back(spare);
     store->put("keyed.op", "config",
-        Json { { "Version", 1 }, { "Routes", { route } }, { "Services", services }, { "Limits", Json::object() } }.dump());
+        Json { { "Version", 1 }, { "Routes", { route } }, { "Services", services }, { "Limits", Json::object() } }
+            .dump());
     fleet = std::make_unique<Fleet>(
         basePort + 1, basePort + 100, workerCount, spares, cpuOfWorker, lastKind, *store, ledger);
     fleet->calmFor = [this](const std::string& holder) {
@@ -1162,7 +1178,7 @@
             sleepFor(10);
         }
     });
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < entryCount; ++i) {
         entries.push_back(std::make_unique<Entry>(i + 1, basePort + 10 + 10 * i, basePort, basePort + 1, directory));
         entries.back()->start();
     }
@@ -1182,7 +1198,8 @@
 {
     auto deadline = after(1000 * seconds);
     for (auto& entry : entries) {
-        while (call(entry->port() + 1, { "GET", "/shallotdrift/ready", { { "Host", "ready" } }, {} }, 500).status != 200) {
+        while (
+            call(entry->port() + 1, { "GET", "/shallotdrift/ready", { { "Host", "ready" } }, {} }, 500).status != 200) {
             if (Clock::now() > deadline)
                 return false;
             sleepFor(50);
@@ -1217,7 +1234,8 @@
         auto& entry = *installation.entries[next++ % installation.entries.size()];
         auto response = call(entry.port(),
             { "POST", "/quick/" + id, { { "Host", "reports.example" }, { "Deadline-Ms", "3000" } }, job.dump() }, 3000);
-        record("client: POST " + id + " at entry " + std::to_string(entry.number()) + " -> " + std::to_string(response.status));
+        record("client: POST " + id + " at entry " + std::to_string(entry.number()) + " -> "
+            + std::to_string(response.status));
         if (response.status >= 200 && response.status < 300)
             return true;
         if (response.status == 400 || response.status == 404)
@@ -1231,10 +1249,11 @@
 {
     static std::atomic<size_t> next { 0 };
     auto& entry = *installation.entries[next++ % installation.entries.size()];
-    auto response = call(
-        entry.port(), { "GET", "/quick/" + id, { { "Host", "reports.example" }, { "Deadline-Ms", "3000" } }, {} }, 3000);
+    auto response = call(entry.port(),
+        { "GET", "/quick/" + id, { { "Host", "reports.example" }, { "Deadline-Ms", "3000" } }, {} }, 3000);
     auto body = Json::parse(response.body, nullptr, false);
-    return response.status == 200 && body.is_object() ? body.value("State", std::string()) : std::to_string(response.status);
+    return response.status == 200 && body.is_object() ? body.value("State", std::string())
+                                                      : std::to_string(response.status);
 }
 
 } // namespace trial
--- a/review/standin/trial.h
+++ b/review/standin/trial.h
@@ -109,6 +109,7 @@
         std::map<std::string, Member> members;
         std::map<std::pair<std::string, int>, std::string> owners;
         std::map<std::pair<std::string, int>, std::string> targets;
+        std::string first; // member to which the first partition was dealt last
     };
 
     Response handle(const Request&);
@@ -165,7 +166,8 @@
 // A worker: one life of a machine after the other, here always under the same id.
 class Worker {
 public:
-    Worker(std::string id, std::string machine, std::string kind, int port, int cpu, std::string service, Store&, Ledger&);
+    Worker(
+        std::string id, std::string machine, std::string kind, int port, int cpu, std::string service, Store&, Ledger&);
     ~Worker();
     void crash(); // without power: nothing is answered, what runs is lost
     void restart(); // under the same id
@@ -261,12 +263,14 @@
     uint64_t token = 0;
     int status = 0;
     double calmFor = 0; // time for which the sending entry has been without disturbance
+    double earlierCalmFor = 0; // the same of the entry that ordered on this machine before
 };
 
 // The platform's machines and their API. Machines of the pool "spare" are off.
 class Fleet {
 public:
-    Fleet(int port, int firstWorkerPort, int workers, int spares, int cpu, const std::string& lastKind, Store&, Ledger&);
+    Fleet(
+        int port, int firstWorkerPort, int workers, int spares, int cpu, const std::string& lastKind, Store&, Ledger&);
     ~Fleet();
     std::vector<FleetOrder> orders();
     void requestWave(uint64_t number, const std::string& machine);
@@ -308,7 +312,7 @@
 class Installation {
 public:
     // The last worker is of the kind `lastKind`, the others are of the kind "a".
-    Installation(int workers, int cpuOfWorker, const std::string& lastKind = "a", int spares = 0);
+    Installation(int workers, int cpuOfWorker, const std::string& lastKind = "a", int spares = 0, int entryCount = 3);
     ~Installation();
     bool waitUntilReady(int seconds);
     Entry* owner(); // of the service; null while it is unknown
