--- a/review/standin/trial.cpp
+++ b/review/standin/trial.cpp
@@ -721,7 +721,7 @@
 void Worker::crash()
 {
     std::lock_guard<std::mutex> lock(mutex_);
-    record("worker " + id_ + " crashes, runs lost: " + std::to_string(runs_.size()));
+    record("worker " + id_ + " ends at once, runs lost: " + std::to_string(runs_.size()));
     up_ = false;
     server_->setDark(true);
     for (const auto& [task, run] : runs_)
