Keep a recorded lease expiry until its removal is stored

Cause: an owner records when the lease of an unresponsive worker expires. When the worker responded again, the owner extended the lease at once and removed the record with its next append. If it lost the store in between, the next owner trusted the recorded time and started the tasks elsewhere, up to several seconds before the extended lease ended. WorkerSessions showed it: the lease was extended by sendLeaseRenewal before the append with the removal had a response.

Change: a lease is not extended from the moment when its expiry is passed to the store until the removal is stored. Whatever a next owner reads is then an upper bound. An owner that has only read the record is bound by it, too.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -460,11 +460,19 @@
             ? known->second
             : now.wall + std::chrono::ceil<Milliseconds>(worker.lease.expiresAt() - now.steady);
     }
+    for (const auto& entry : unresponsive)
+        workers_.at(entry.first).expiryRecorded = true; // already while the record is being stored
     bool changed = unresponsive != unresponsive_;
     unresponsive_ = std::move(unresponsive);
     return changed;
 }
 
+void ServiceScheduler::onRecordsStored()
+{
+    for (auto& [id, worker] : workers_)
+        worker.expiryRecorded = worker.expiryRecorded && unresponsive_.count(id) != 0;
+}
+
 void ServiceScheduler::restoreUnresponsive(const std::string& value, const Now& now)
 {
     static constexpr Milliseconds maximumClockSkew { 200 }; // between the wall clocks of the two owners
@@ -475,7 +483,9 @@
         if (at.is_number_integer()) {
             auto expiry = wallTimeFromUnix(Milliseconds { at.get<int64_t>() });
             unresponsive_[id] = expiry;
-            findOrAddWorker(id, now.steady).lease.limitExpiry(now.steady + (expiry - now.wall) + maximumClockSkew);
+            auto& worker = findOrAddWorker(id, now.steady);
+            worker.lease.limitExpiry(now.steady + (expiry - now.wall) + maximumClockSkew);
+            worker.expiryRecorded = true;
         }
 }
 
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -106,6 +106,7 @@
     bool registered = true; // in the registry; false if removed from it, or known only from stored records
     bool reported = false; // has reported to this owner
     bool unresponsive = false; // the last lease renewal failed
+    bool expiryRecorded = false; // the stored record of unresponsive workers may list the worker
     bool cordoned = false; // gets no new runs: the instance is about to leave the pool or to be maintained
     bool maintenanceDue = false; // an open wave will take the instance out for maintenance
     Instant lastResponseAt {};
@@ -113,6 +114,9 @@
     Instant quarantinedUntil {};
     double failureScore = 0; // see ServiceScheduler::updateFailureScore()
 
+    // A next owner trusts the expiry in the record, so the lease stays as it is until the removal is stored.
+    bool mayExtendLease() const { return !unresponsive && !expiryRecorded; }
+
     Resources freeResources() const
     {
         Resources free = info.capacity;
@@ -185,6 +189,8 @@
 
     // Changes of the stored state since the last call.
     std::vector<StateRecord> takeChangedRecords(const Now&);
+    // To be called when the records of the last takeChangedRecords() are stored.
+    void onRecordsStored();
     // Each job has two records, one with its specification, which never changes, and one with its state. jobIdOfKey()
     // accepts the keys of both.
     static std::string jobIdOfKey(const std::string& key);
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -353,9 +353,11 @@
     }
     auto stored = [this, starts = std::move(starts), appliedEnds = std::move(appliedEnds),
                       callbacks = std::move(callbacksWhenStored_)] {
-        for (const auto& [entry, orders] : starts)
+        for (const auto& [entry, orders] : starts) {
+            entry->scheduler.onRecordsStored();
             for (const auto& order : orders)
                 entry->sessions.send(order);
+        }
         for (const auto& [entry, numbers] : appliedEnds)
             entry->sessions.acknowledgeStoredEnds(numbers);
         for (const auto& callback : callbacks)
--- a/shallotdrift/src/Node/WorkerSessions.cpp
+++ b/shallotdrift/src/Node/WorkerSessions.cpp
@@ -94,8 +94,8 @@
 
 Milliseconds WorkerSessions::nextLeaseEnd(Worker& worker)
 {
-    return worker.unresponsive || !callbacks_.mayExtendLeases() ? worker.lease.lastRequestedEnd()
-                                                                : worker.lease.extend(BootClock::now());
+    return worker.mayExtendLease() && callbacks_.mayExtendLeases() ? worker.lease.extend(BootClock::now())
+                                                                   : worker.lease.lastRequestedEnd();
 }
 
 void WorkerSessions::scheduleLeaseRenewal(const std::shared_ptr<Session>& session, Milliseconds time)
@@ -124,7 +124,7 @@
     session->renewalSentAt = sentAt;
     platform::LeaseRenewalRequest request { session->worker, fencingToken_, session->lastStoredEnd, std::nullopt,
         Milliseconds { 0 } };
-    if (worker.lease.hasClockSample() && !worker.unresponsive && callbacks_.mayExtendLeases())
+    if (worker.lease.hasClockSample() && worker.mayExtendLease() && callbacks_.mayExtendLeases())
         request.leaseEnd = nextLeaseEnd(worker);
     if (worker.reported && !session->failing) {
         request.maximumWait = worker.runs.empty() ? idleRenewalWait : busyRenewalWait;
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -104,6 +104,7 @@
             auto orders = scheduler->plan(now);
             for (const auto& record : scheduler->takeChangedRecords(now))
                 store[record.key] = record.value;
+            scheduler->onRecordsStored();
             for (const auto& order : orders)
                 CPPUNIT_ASSERT(scheduler->beginStart(order, now));
             return orders;
@@ -173,6 +174,7 @@
     CPPUNIT_TEST(tasksOfLostWorkersWaitForLeaseExpiry);
     CPPUNIT_TEST(uncertainStartsAreStoppedBeforeTheNextRun);
     CPPUNIT_TEST(leaseExpiryOfUnresponsiveWorkersSurvivesFailover);
+    CPPUNIT_TEST(recordedLeaseExpiryHoldsUntilItsRemovalIsStored);
     CPPUNIT_TEST(cancelledJobsAreNotStarted);
     CPPUNIT_TEST(cordonsExemptTheNewServiceOfAnInstance);
     CPPUNIT_TEST(dueOccurrencesAreOpenedWithinALimit);
@@ -302,6 +304,67 @@
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.plan().size());
     }
 
+    // Guards against two simultaneous runs of a task: a worker was silent, so its lease expiry was stored. It responded
+    // again and its lease was extended, but the owner lost the store before it could remove the record, and the next
+    // owner started the task elsewhere at the recorded time.
+    void recordedLeaseExpiryHoldsUntilItsRemovalIsStored()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(1, 1000) });
+        auto first = harness.plan().at(0);
+        std::vector<RunProgress> running { { first.task, first.runNumber, {}, 50, 0 } };
+        harness.report("w1", running);
+        harness.scheduler->workers().at("w1").lease.extend(harness.now.steady);
+        Instant previousExpiry;
+        auto respondAgain = [&] {
+            harness.advance(Milliseconds { 1000 });
+            harness.report("w1", running);
+            auto& worker = harness.scheduler->workers().at("w1");
+            if (worker.mayExtendLease())
+                worker.lease.extend(harness.now.steady);
+            previousExpiry = worker.lease.expiresAt();
+            harness.scheduler->takeChangedRecords(harness.now); // never stored
+        };
+        auto nextOwnerWaits = [&] {
+            harness.failOver();
+            harness.registerWorker("w2");
+            for (;;) {
+                harness.advance(Milliseconds { 50 });
+                harness.report("w2");
+                harness.scheduler->expireLeases(harness.now);
+                if (!harness.send().empty())
+                    break;
+                CPPUNIT_ASSERT(harness.now.steady < previousExpiry + Milliseconds { 8000 });
+            }
+            CPPUNIT_ASSERT(harness.now.steady >= previousExpiry);
+        };
+        harness.scheduler->markUnresponsive("w1");
+        harness.send();
+        auto stored = harness.store;
+        {
+            Section section("after the owner that stored the record");
+            respondAgain();
+            nextOwnerWaits();
+        }
+        harness.store = stored;
+        {
+            Section section("after an owner that only read the record");
+            harness.failOver();
+            harness.registerWorker("w1");
+            respondAgain();
+            nextOwnerWaits();
+        }
+        Section section("the lease is extended again once the removal is stored");
+        harness.store = stored;
+        harness.failOver();
+        harness.registerWorker("w1");
+        harness.report("w1", running);
+        CPPUNIT_ASSERT(!harness.scheduler->workers().at("w1").mayExtendLease());
+        harness.send();
+        CPPUNIT_ASSERT(harness.scheduler->workers().at("w1").mayExtendLease());
+    }
+
     // Guards against a start without a response that takes effect late, beside another run of the same task.
     void uncertainStartsAreStoppedBeforeTheNextRun()
     {
