Stop starts for a former incarnation of a worker before running their tasks again

Cause: nothing ties a start to one incarnation of a worker that keeps its id. A start without a response was sent again while the worker did not respond, so the next incarnation carried it out. On its first report, with another boot time, the owner took all runs of the worker for ended, even those that the report listed as running.

Change: starts are not sent again to an unresponsive worker. After a restart, listed runs are kept, and runs whose start may still arrive are stopped before their tasks are placed again. The owner assumes the maximum lease after a restart, since the orders for the former incarnation carry lease ends on another clock.

--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -264,7 +264,8 @@
     }
 }
 
-// Adds the starts that got no response and are due to be sent again, with the same run number.
+// Adds the starts that got no response and are due to be sent again, with the same run number. Starts on unresponsive
+// workers wait, since the next incarnation of such a worker would accept them.
 void ServiceScheduler::resendStarts(std::vector<StartOrder>& orders, const Now& now)
 {
     if (!hasUncertainStarts_)
@@ -275,7 +276,7 @@
             if (!run.startUncertain || run.confirmed || run.stopRequested)
                 continue;
             hasUncertainStarts_ = true;
-            if (run.resendAt > now.steady)
+            if (run.resendAt > now.steady || worker.unresponsive)
                 continue;
             auto* job = find(id.job);
             auto* task = job ? job->findTask(id) : nullptr;
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -173,9 +173,9 @@
 {
     auto& worker = findOrAddWorker(workerId, now.steady);
     if (report.bootTime != 0 && worker.info.bootTime != 0 && report.bootTime != worker.info.bootTime) {
-        endAllRuns(workerId, now); // a new incarnation with the same id has none of the runs of the previous one
+        endRunsOfFormerIncarnation(worker, report, requestedAt, now);
         worker.lastAppliedEnd = 0;
-        worker.lease = WorkerLease(options_.lease, now.steady);
+        worker.lease = WorkerLease::ofNewIncarnation(options_.lease, now.steady);
     }
     if (report.bootTime != 0)
         worker.info.bootTime = report.bootTime;
@@ -203,6 +203,33 @@
     return changed || !absent.empty() || !staleRuns_.empty();
 }
 
+// A new incarnation with the same id has none of the runs of the former one, but it accepts start orders that were sent
+// to the former one. Runs that it may have started, or may still start, are kept: those that it reports as they are,
+// the others until a stop makes it reject them.
+void ServiceScheduler::endRunsOfFormerIncarnation(
+    Worker& worker, const WorkerReport& report, Instant requestedAt, const Now& now)
+{
+    std::set<std::pair<TaskId, uint32_t>> reported;
+    for (const auto& running : report.running)
+        reported.emplace(running.task, running.runNumber);
+    for (const auto& ended : report.ended)
+        reported.emplace(ended.task, ended.runNumber);
+    std::vector<std::pair<TaskId, uint32_t>> lost;
+    for (auto& [id, run] : worker.runs) {
+        if (reported.count({ id, run.number }) != 0)
+            continue;
+        if (run.unansweredStarts == 0 && (!run.confirmed || run.confirmedAt <= requestedAt)) {
+            lost.emplace_back(id, run.number);
+            continue;
+        }
+        run.confirmed = false;
+        run.stopRequested = true;
+        run.stopSentAt = {};
+    }
+    for (const auto& [id, run] : lost)
+        endRun(worker.info.id, id, run, RunOutcome::LeaseExpired, {}, now);
+}
+
 void ServiceScheduler::applyProgress(Worker& worker, const RunProgress& progress, const Now& now)
 {
     auto found = worker.runs.find(progress.task);
@@ -345,7 +372,10 @@
     }
     run->startSent = true;
     run->resendAt = Instant::max();
-    return !run->stopRequested;
+    if (run->stopRequested)
+        return false;
+    ++run->unansweredStarts;
+    return true;
 }
 
 void ServiceScheduler::onStartResponse(const StartOrder& order, StartRefusal refusal, const Now& now)
@@ -353,6 +383,8 @@
     auto* run = findRun(order.worker, order.task, order.runNumber);
     if (!run)
         return;
+    if (run->unansweredStarts > 0)
+        --run->unansweredStarts;
     auto* job = find(order.task.job);
     auto* task = job ? job->findTask(order.task) : nullptr;
     if (refusal == StartRefusal::None || refusal == StartRefusal::StaleRun) {
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -77,6 +77,7 @@
         Milliseconds estimatedDuration { 0 };
         bool startSent = false; // the start order may have reached the worker
         bool startUncertain = false; // the start order got no response, so it may still take effect
+        uint32_t unansweredStarts = 0; // start orders of this owner that are in flight or got no response
         bool confirmed = false; // a response covers this run, so reports requested after confirmedAt show its state
         Instant confirmedAt {};
         Instant resendAt {}; // when to resend a start order that got no response
@@ -235,6 +236,7 @@
     };
 
     Worker& findOrAddWorker(const std::string& id, Instant now);
+    void endRunsOfFormerIncarnation(Worker&, const WorkerReport&, Instant requestedAt, const Now&);
     bool updateUnresponsive(const Now&);
     Worker::Run* findRun(const std::string& worker, const TaskId&, uint32_t runNumber);
     void assign(Worker&, const TaskId&, JobTask&, const StepSpec&, uint32_t runNumber);
--- a/shallotdrift/src/Jobs/WorkerLease.h
+++ b/shallotdrift/src/Jobs/WorkerLease.h
@@ -28,6 +28,18 @@
     {
     }
 
+    // The lease of a new incarnation of a worker that this owner already sends requests to. Requests for the former
+    // incarnation may still reach it. They carry lease ends on another clock, which the worker limits to
+    // maximumDuration.
+    static WorkerLease ofNewIncarnation(const LeaseOptions& options, Instant now)
+    {
+        WorkerLease lease(options, now);
+        lease.expiresAt_
+            = now + options.previousOwnerGrace + lease.scaled(options.maximumDuration) + options.safetyMargin;
+        lease.newIncarnation_ = true;
+        return lease;
+    }
+
     // Lowers expiresAt() to the time given, if that is earlier. To be called when the previous owner no longer extends
     // the lease and it is known when the lease expires.
     void limitExpiry(Instant latest) { expiresAt_ = std::min(expiresAt_, latest); }
@@ -37,7 +49,7 @@
     // Records a reading of the worker's clock, taken at some time before now.
     void sampleClock(Milliseconds clock, Instant now)
     {
-        if (!sampled_) // the worker has seen this owner's fencing token and rejects previous owners
+        if (!sampled_ && !newIncarnation_) // the worker has seen this owner's fencing token and rejects previous owners
             expiresAt_ = std::min(expiresAt_, now + scaled(options_->duration) + options_->safetyMargin);
         clock_ = clock;
         sampledAt_ = now;
@@ -75,6 +87,7 @@
     Milliseconds lastRequestedEnd_ { 0 };
     Instant sampledAt_ {};
     bool sampled_ = false;
+    bool newIncarnation_ = false;
     Instant expiresAt_;
 };
 
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -69,6 +69,7 @@
             advance(Milliseconds { 1 });
             WorkerReport workerReport;
             workerReport.clock = std::chrono::duration_cast<Milliseconds>(now.steady.time_since_epoch());
+            workerReport.bootTime = bootTimes[worker];
             workerReport.running = std::move(running);
             workerReport.ended = std::move(ended);
             scheduler->onReport(worker, workerReport, now.steady, now);
@@ -161,6 +162,7 @@
         std::unique_ptr<ServiceScheduler> scheduler;
         std::map<std::string, std::string> store;
         std::map<std::string, uint64_t> ends;
+        std::map<std::string, int64_t> bootTimes; // 0: not in the reports
     };
 
 } // namespace
@@ -175,6 +177,7 @@
     CPPUNIT_TEST(uncertainStartsAreStoppedBeforeTheNextRun);
     CPPUNIT_TEST(leaseExpiryOfUnresponsiveWorkersSurvivesFailover);
     CPPUNIT_TEST(recordedLeaseExpiryHoldsUntilItsRemovalIsStored);
+    CPPUNIT_TEST(startsForAFormerIncarnationAreStoppedFirst);
     CPPUNIT_TEST(cancelledJobsAreNotStarted);
     CPPUNIT_TEST(cordonsExemptTheNewServiceOfAnInstance);
     CPPUNIT_TEST(dueOccurrencesAreOpenedWithinALimit);
@@ -365,6 +368,59 @@
         CPPUNIT_ASSERT(harness.scheduler->workers().at("w1").mayExtendLease());
     }
 
+    // Guards against two simultaneous runs of a task: a worker lost its power and started again under its id. It
+    // accepted starts that were meant for its former incarnation, while the owner took all runs of that incarnation for
+    // ended and started their tasks elsewhere.
+    void startsForAFormerIncarnationAreStoppedFirst()
+    {
+        SchedulerHarness harness;
+        harness.bootTimes["w1"] = 1;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(4, 1000) });
+        auto orders = harness.send();
+        CPPUNIT_ASSERT_EQUAL(size_t { 4 }, orders.size());
+        auto& scheduler = *harness.scheduler;
+        scheduler.onStartResponse(orders[0], StartRefusal::None, harness.now);
+        for (size_t i = 1; i < 3; ++i)
+            scheduler.onNoStartResponse(orders[i], harness.now);
+        harness.report("w1", { { orders[0].task, 1, {}, 10, 0 } });
+        scheduler.markUnresponsive("w1");
+        harness.addWorker("w2");
+        {
+            Section section("no start is sent again while the worker does not respond");
+            harness.advance(Milliseconds { 600 });
+            harness.report("w2");
+            CPPUNIT_ASSERT(harness.send().empty());
+        }
+        harness.bootTimes["w1"] = 2;
+        std::vector<RunProgress> running { { orders[1].task, 1, {}, 10, 0 } };
+        harness.report("w1", running);
+        {
+            Section section("only the task of the run that had begun is started again at once");
+            auto again = harness.plan();
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, again.size());
+            CPPUNIT_ASSERT_EQUAL(orders[0].task.index, again[0].task.index);
+            if (again[0].worker == "w1")
+                running.push_back({ again[0].task, again[0].runNumber, {}, 10, 0 });
+        }
+        {
+            Section section("the run that the new incarnation has begun continues, the others are stopped");
+            auto stops = scheduler.stopsDue(harness.now);
+            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, stops.size());
+            for (size_t i = 0; i < 2; ++i) {
+                CPPUNIT_ASSERT_EQUAL(orders[i + 2].task.index, stops[i].task.index);
+                scheduler.onStopResponse(stops[i], harness.now);
+            }
+            harness.report("w1", running);
+            auto again = harness.plan();
+            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, again.size());
+            for (const auto& order : again)
+                CPPUNIT_ASSERT_EQUAL(2U, order.runNumber);
+        }
+        Section section("the new incarnation may have taken a lease end of the former clock");
+        CPPUNIT_ASSERT(scheduler.workers().at("w1").lease.expiresAt() > harness.now.steady + Milliseconds { 10000 });
+    }
+
     // Guards against a start without a response that takes effect late, beside another run of the same task.
     void uncertainStartsAreStoppedBeforeTheNextRun()
     {
