Acknowledge run ends only to the incarnation that reported them

Cause: each incarnation of a worker numbers its ends from 1. An acknowledgement that waited for the store while the worker started again under its id was sent to the new incarnation, which forgot ends that were not stored yet. Renewals to a worker that did not respond carried the same number.

Change: acknowledgements name the boot time that they belong to; renewals to an unresponsive worker acknowledge nothing.

Test: WorkerSessionsTest::acknowledgementsAreForOneIncarnation fails without the check of the boot time.

--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -342,7 +342,7 @@
     admitSubmissions();
     auto now = currentTime();
     std::vector<std::pair<Service*, std::vector<StartOrder>>> starts;
-    std::vector<std::pair<Service*, std::map<std::string, uint64_t>>> appliedEnds;
+    std::vector<std::pair<Service*, std::map<std::string, WorkerSessions::AppliedEnd>>> appliedEnds;
     std::vector<StateRecord> records;
     for (auto& [name, entry] : services_) {
         auto orders = entry->scheduler.plan(now);
--- a/shallotdrift/src/Node/WorkerSessions.cpp
+++ b/shallotdrift/src/Node/WorkerSessions.cpp
@@ -69,24 +69,25 @@
         dropWorker(id);
 }
 
-std::map<std::string, uint64_t> WorkerSessions::appliedEnds() const
+std::map<std::string, WorkerSessions::AppliedEnd> WorkerSessions::appliedEnds() const
 {
-    std::map<std::string, uint64_t> ends;
+    std::map<std::string, AppliedEnd> ends;
     for (const auto& [id, worker] : scheduler_.workers()) {
         auto session = sessions_.find(id);
         if (session != sessions_.end() && session->second->lastStoredEnd != worker.lastAppliedEnd)
-            ends[id] = worker.lastAppliedEnd;
+            ends[id] = { worker.lastAppliedEnd, worker.info.bootTime };
     }
     return ends;
 }
 
-void WorkerSessions::acknowledgeStoredEnds(const std::map<std::string, uint64_t>& ends)
+void WorkerSessions::acknowledgeStoredEnds(const std::map<std::string, AppliedEnd>& ends)
 {
-    for (const auto& [id, number] : ends) {
+    for (const auto& [id, end] : ends) {
         auto found = sessions_.find(id);
-        if (found == sessions_.end() || found->second->lastStoredEnd == number)
+        if (found == sessions_.end() || found->second->bootTime != end.bootTime
+            || found->second->lastStoredEnd == end.number)
             continue;
-        found->second->lastStoredEnd = number;
+        found->second->lastStoredEnd = end.number;
         if (!found->second->renewalPending)
             sendLeaseRenewal(found->second);
     }
@@ -122,7 +123,9 @@
     if (worker.lastAppliedEnd != session->lastStoredEnd && sentAt - session->renewalSentAt < unstoredRenewalInterval)
         return;
     session->renewalSentAt = sentAt;
-    platform::LeaseRenewalRequest request { session->worker, fencingToken_, session->lastStoredEnd, std::nullopt,
+    // The next incarnation of a worker that does not respond would forget its own first ends.
+    auto acknowledgedEnd = session->failing ? 0 : session->lastStoredEnd;
+    platform::LeaseRenewalRequest request { session->worker, fencingToken_, acknowledgedEnd, std::nullopt,
         Milliseconds { 0 } };
     if (worker.lease.hasClockSample() && worker.mayExtendLease() && callbacks_.mayExtendLeases())
         request.leaseEnd = nextLeaseEnd(worker);
@@ -154,8 +157,10 @@
         context_.counters.runsEnded += response.report.ended.size();
         bool changed = scheduler_.onReport(session->worker, response.report, sentAt, currentTime());
         auto found = scheduler_.workers().find(session->worker);
-        if (found != scheduler_.workers().end() && found->second.lastAppliedEnd < session->lastStoredEnd)
-            session->lastStoredEnd = 0; // a restarted worker with the same id numbers its ends from 1 again
+        if (found != scheduler_.workers().end() && found->second.info.bootTime != session->bootTime) {
+            session->bootTime = found->second.info.bootTime;
+            session->lastStoredEnd = 0; // each incarnation numbers its ends from 1
+        }
         if (changed)
             callbacks_.changed();
         if (*alive_)
--- a/shallotdrift/src/Node/WorkerSessions.h
+++ b/shallotdrift/src/Node/WorkerSessions.h
@@ -36,11 +36,16 @@
     void sync();
     // Drops workers that a later incarnation on the same instance has replaced: their runs have ended.
     void dropReplacedWorkers(const LatestIncarnations&);
-    // For each worker with unacknowledged run ends: the number of the last end that the scheduler has applied. To be
-    // passed to acknowledgeStoredEnds() once the scheduler's records are stored.
-    std::map<std::string, uint64_t> appliedEnds() const;
-    // Acknowledges the run ends to the workers up to the given number for each, with a lease renewal.
-    void acknowledgeStoredEnds(const std::map<std::string, uint64_t>& ends);
+    // The last run end of a worker's incarnation that the scheduler has applied.
+    struct AppliedEnd {
+        uint64_t number = 0;
+        int64_t bootTime = 0; // identifies the incarnation
+    };
+    // The last applied end of each worker with unacknowledged run ends. To be passed to acknowledgeStoredEnds() once
+    // the scheduler's records are stored.
+    std::map<std::string, AppliedEnd> appliedEnds() const;
+    // Acknowledges the run ends to the workers up to the given one for each, with a lease renewal.
+    void acknowledgeStoredEnds(const std::map<std::string, AppliedEnd>& ends);
 
     void send(const StartOrder&);
     void send(const StopOrder&);
@@ -53,6 +58,7 @@
         std::string worker;
         std::string address;
         uint64_t lastStoredEnd = 0; // highest number of a stored run end; 0: none
+        int64_t bootTime = 0; // of the incarnation that lastStoredEnd refers to
         Instant renewalSentAt {};
         bool renewalPending = false; // in flight, or scheduled for a retry
         bool failing = false; // the last lease renewal failed
--- /dev/null
+++ b/test/WorkerSessionsTest.cpp
@@ -0,0 +1,122 @@
+#include "Section.h"
+
+#include "shallotdrift/Http.h"
+#include "shallotdrift/src/Node/WorkerSessions.h"
+#include "standin/WorkerStandIn.h"
+
+#include <asio/ip/tcp.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace shallotdrift {
+
+namespace {
+
+    constexpr char serviceName[] = "reports";
+    constexpr char workerId[] = "w1";
+
+    // An owner's sessions with one worker, which can start again under its id. Nothing is stored unless the test does
+    // so.
+    struct SessionsHarness {
+        SessionsHarness()
+        {
+            asio::ip::tcp::acceptor probe(io, { asio::ip::make_address("127.0.0.1"), 0 });
+            address = fmt::format("127.0.0.1:{}", probe.local_endpoint().port());
+            probe.close();
+            server = std::make_unique<HttpServer>(io, deadlines, HttpServerOptions { address },
+                [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
+                    worker->handle(request, std::move(respond));
+                });
+            handleError([&] { return server->start(); }, [](const Error& error) { CPPUNIT_FAIL(error.message); });
+            WorkerInfo info;
+            info.id = workerId;
+            info.address = address;
+            info.service = serviceName;
+            info.capacity = { 16000, 64000, 0 };
+            scheduler.updateWorker(info, BootClock::now());
+        }
+
+        // Runs the event loop until the condition holds.
+        template <typename Condition> void runUntil(Condition&& condition)
+        {
+            auto end = BootClock::now() + Milliseconds { 10000 };
+            while (!condition()) {
+                CPPUNIT_ASSERT(BootClock::now() < end);
+                io.run_for(Milliseconds { 5 });
+                worker->poll(BootClock::now());
+                sessions.sync();
+            }
+        }
+
+        void startJob(const std::string& id, uint32_t tasks)
+        {
+            JobSpec spec;
+            spec.payload = "work=50";
+            StepSpec step;
+            step.count = tasks;
+            step.taskResources = { 1000, 100, 0 };
+            spec.steps = { step };
+            scheduler.add(Job(id, "render", serviceName, std::move(spec), wallNow(), 2));
+            for (const auto& order : scheduler.plan(internal::currentTime()))
+                sessions.send(order);
+        }
+
+        bool completed(const std::string& id) const { return scheduler.statusOf(id) == JobStatus::Completed; }
+
+        asio::io_context io { 1 };
+        std::string address;
+        DeadlineQueue deadlines { io };
+        HttpClient client { io, deadlines, HttpClientOptions {} };
+        internal::StoreClient store { client, {} };
+        NodeSettings settings;
+        internal::NodeContext context { io, deadlines, settings, client, client, client, store };
+        standin::RunStatistics statistics;
+        std::unique_ptr<standin::WorkerStandIn> worker
+            = std::make_unique<standin::WorkerStandIn>(workerId, 16000, statistics);
+        std::unique_ptr<HttpServer> server;
+        ServiceScheduler scheduler { serviceName, ServiceSchedulerOptions {}, BootClock::now() };
+        internal::WorkerSessions sessions { context, scheduler, 7, { [] {}, [] {}, [] { return true; } } };
+    };
+
+} // namespace
+
+class WorkerSessionsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(WorkerSessionsTest);
+    CPPUNIT_TEST(acknowledgementsAreForOneIncarnation);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against running completed tasks again: the ends of a worker's former incarnation were stored only after it
+    // had started again, and their acknowledgement made the new one forget ends that were not stored.
+    void acknowledgementsAreForOneIncarnation()
+    {
+        SessionsHarness harness;
+        harness.runUntil([&] { return harness.scheduler.workers().at(workerId).reported; });
+        harness.startJob("000000000000000a", 3);
+        harness.runUntil([&] { return harness.completed("000000000000000a"); });
+        auto beforeRestart = harness.sessions.appliedEnds();
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, beforeRestart.at(workerId).number);
+        auto bootTime = harness.worker->bootTime();
+        harness.runUntil([&] { return unixMilliseconds(wallNow()) > bootTime; });
+        harness.worker = std::make_unique<standin::WorkerStandIn>(workerId, 16000, harness.statistics);
+        harness.runUntil(
+            [&] { return harness.scheduler.workers().at(workerId).info.bootTime == harness.worker->bootTime(); });
+        harness.sessions.acknowledgeStoredEnds(beforeRestart);
+        harness.startJob("000000000000000b", 3);
+        harness.runUntil([&] { return harness.completed("000000000000000b"); });
+        auto unstored = harness.sessions.appliedEnds();
+        {
+            Section section("nothing is acknowledged before it is stored");
+            auto end = BootClock::now() + Milliseconds { 1000 }; // longer than the interval between renewals
+            harness.runUntil([&] { return BootClock::now() > end; });
+            CPPUNIT_ASSERT(harness.statistics.acknowledgedDone.empty());
+        }
+        Section section("the ends of the new incarnation are acknowledged");
+        harness.sessions.acknowledgeStoredEnds(unstored);
+        harness.runUntil([&] { return harness.statistics.acknowledgedDone.size() == 3; });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WorkerSessionsTest);
+
+} // namespace shallotdrift
