End no runs because of a truncated list of ends

Cause: a worker lists at most 500 ends in one response. 800 runs ended on one worker while the store was down, and the 300 that its reports left out were taken for stopped, since they were listed neither as running nor as ended.

--- a/shallotdrift/src/Jobs/JobTypes.h
+++ b/shallotdrift/src/Jobs/JobTypes.h
@@ -163,6 +163,7 @@
     int64_t bootTime = 0; // start of the incarnation, Unix milliseconds; 0: not in the report
     std::vector<RunProgress> running {};
     std::vector<EndedRun> ended {};
+    bool endsTruncated = false; // more runs may have ended than `ended` lists
 };
 
 // Why a worker refused to start a run.
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -195,9 +195,10 @@
             changed = true;
         }
     std::vector<std::pair<TaskId, uint32_t>> absent;
-    for (const auto& [id, run] : worker.runs)
-        if (run.confirmed && run.confirmedAt <= requestedAt && run.lastReportNumber != worker.reportCount)
-            absent.emplace_back(id, run.number);
+    if (!report.endsTruncated) // otherwise a run that the report does not list may have ended in any way
+        for (const auto& [id, run] : worker.runs)
+            if (run.confirmed && run.confirmedAt <= requestedAt && run.lastReportNumber != worker.reportCount)
+                absent.emplace_back(id, run.number);
     for (const auto& [id, run] : absent)
         endRun(workerId, id, run, RunOutcome::Stopped, {}, now);
     return changed || !absent.empty() || !staleRuns_.empty();
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -188,6 +188,7 @@
     CPPUNIT_TEST(lateResponseDoesNotCancelSpeculation);
     CPPUNIT_TEST(startsAfterLeaseExpiryAreRepeated);
     CPPUNIT_TEST(unexpectedRunsAreStopped);
+    CPPUNIT_TEST(truncatedListsOfEndsEndNoOtherRuns);
     CPPUNIT_TEST(evictionsRespectMaximumUnavailable);
     CPPUNIT_TEST_SUITE_END();
 
@@ -507,6 +508,34 @@
         CPPUNIT_ASSERT_EQUAL(1U, stops[0].runNumber);
     }
 
+    // Guards against starting completed tasks again: while the store was down, more runs ended on a worker than one
+    // report lists, and those that it left out were taken for stopped.
+    void truncatedListsOfEndsEndNoOtherRuns()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(3, 1000) });
+        auto orders = harness.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 3 }, orders.size());
+        WorkerReport report;
+        auto apply = [&] {
+            harness.advance(Milliseconds { 10 });
+            report.clock += Milliseconds { 10 };
+            harness.scheduler->onReport("w1", report, harness.now.steady, harness.now);
+        };
+        for (size_t i = 0; i < 2; ++i)
+            report.ended.push_back({ i + 1, orders[i].task, orders[i].runNumber, RunOutcome::Completed, {} });
+        report.endsTruncated = true;
+        apply();
+        CPPUNIT_ASSERT(harness.plan().empty());
+        CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Active);
+        report.ended = { { 3, orders[2].task, orders[2].runNumber, RunOutcome::Completed, {} } };
+        report.endsTruncated = false;
+        apply();
+        CPPUNIT_ASSERT(harness.plan().empty());
+        CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Completed);
+    }
+
     // Guards against evicting a long-running task while another task of its step is unavailable, because that task is
     // being stopped or its worker is unresponsive.
     void evictionsRespectMaximumUnavailable()
