Keep the room of a superseded run until the run has ended

Cause: a task that allows speculation is released when its worker does not respond, while the entry of its run is kept. If the worker was back first, the next run was placed on it and replaced the entry, so the room of the first run was never given back.

Change: a task is not placed on a worker that still has an entry for one of its runs. That run is stopped, and its room is freed when it ends.

--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -106,9 +106,12 @@
     return count;
 }
 
-// Whether the label and the limit of tasks per worker allow the task there.
+// Whether the label and the limit of tasks per worker allow the task there. A superseded run of the task keeps its room
+// until it has ended, so the next run cannot take its place in Worker::runs.
 bool ServiceScheduler::hasPlaceFor(const Worker& worker, const StepSpec& spec, const TaskId& id) const
 {
+    if (worker.runs.count(id) != 0)
+        return false;
     if (!spec.requiredLabel.empty() && !hasLabel(worker, spec.requiredLabel))
         return false;
     return spec.maximumTasksPerWorker == 0
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -186,6 +186,7 @@
     CPPUNIT_TEST(workersThatWereOnlySilentKeepTheirRuns);
     CPPUNIT_TEST(evictionsWaitForStopsOfThePreviousOwner);
     CPPUNIT_TEST(lateResponseDoesNotCancelSpeculation);
+    CPPUNIT_TEST(supersededRunsKeepTheirRoomUntilTheyEnd);
     CPPUNIT_TEST(startsAfterLeaseExpiryAreRepeated);
     CPPUNIT_TEST(unexpectedRunsAreStopped);
     CPPUNIT_TEST(truncatedListsOfEndsEndNoOtherRuns);
@@ -483,6 +484,27 @@
         CPPUNIT_ASSERT_EQUAL(std::string("w2"), speculative[0].worker);
     }
 
+    // Guards against room on a worker that is never free again, so that a job stays queued beside an idle worker: a
+    // task was released for a speculative run, which was placed on the same worker and replaced the entry of the first
+    // run.
+    void supersededRunsKeepTheirRoomUntilTheyEnd()
+    {
+        SchedulerHarness harness;
+        auto first = harness.startSingleTask(true);
+        harness.scheduler->markUnresponsive("w1");
+        harness.advance(Milliseconds { 1000 });
+        CPPUNIT_ASSERT(harness.plan().empty());
+        harness.report("w1", { { first.task, first.runNumber, {}, 50, 0 } });
+        CPPUNIT_ASSERT(harness.plan().empty());
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.scheduler->stopsDue(harness.now).size());
+        harness.end(first, RunOutcome::Stopped);
+        auto second = harness.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, second.size());
+        harness.end(second[0], RunOutcome::Completed);
+        CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Completed);
+        CPPUNIT_ASSERT_EQUAL(int64_t { 0 }, harness.scheduler->workers().at("w1").allocated.milliCores);
+    }
+
     // Guards against unneeded runs that are not stopped: runs that started late, belong to an unknown job or have been
     // superseded.
     void unexpectedRunsAreStopped()
