Take partitions over again after an expired membership

Cause: an owner without the store kept its state when its membership had expired. If its first response afterwards listed its partitions again, applyAssignment() saw no change, although another member could have owned them and accepted jobs in between. Until it was fenced, the owner answered 410 to queries and cancellations of those jobs.

Change: if the membership has expired and the generation has changed, the partitions are given up and taken over again, with the new generation. An owner whose membership has expired no longer answers 410; the router retries or refuses the request.

Test: MembershipTest::expiredOwnershipIsNotContinued failed before the change.

--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -155,14 +155,19 @@
                 scheduleJoin(retryDelay);
                 return;
             }
+            bool expired = !context_.membershipLease.valid(BootClock::now());
             context_.membershipLease = { sentAt, groupMember_.timeToLive };
-            applyAssignment(response);
+            applyAssignment(response, expired);
         });
 }
 
-void Membership::applyAssignment(const platform::JoinGroupResponse& response)
+// After the membership has expired, a join whose response was lost may have assigned partitions again that another
+// member owned in between. They are given up and taken over again, since their state may have changed. The generation
+// shows whether there was any change.
+void Membership::applyAssignment(const platform::JoinGroupResponse& response, bool expired)
 {
     bool changed = response.generation != groupMember_.generation;
+    bool othersMayHaveOwned = changed && expired;
     groupMember_.generation = response.generation;
     std::set<uint32_t> assigned;
     for (const auto& partition : response.partitions)
@@ -171,13 +176,16 @@
     bool anyRevoked = false;
     auto previous = std::move(owned_);
     owned_ = assigned;
+    if (othersMayHaveOwned && !previous.empty())
+        logger("node")->warn(
+            "event=membership_expired generation={} partitions={}", response.generation, previous.size());
     for (uint32_t partition : previous)
-        if (assigned.count(partition) == 0) {
+        if (othersMayHaveOwned || assigned.count(partition) == 0) {
             anyRevoked = true;
             callbacks_.revoked(partition);
         }
     for (uint32_t partition : assigned)
-        if (previous.count(partition) == 0)
+        if (othersMayHaveOwned || previous.count(partition) == 0)
             callbacks_.assigned(partition, response.generation);
     if (changed)
         refreshOwners();
--- a/shallotdrift/src/Node/Membership.h
+++ b/shallotdrift/src/Node/Membership.h
@@ -51,7 +51,7 @@
     void withdraw(const platform::GroupMember&);
     void yieldToRegularMembers();
     void scheduleJoin(Milliseconds);
-    void applyAssignment(const platform::JoinGroupResponse&);
+    void applyAssignment(const platform::JoinGroupResponse&, bool expired);
     void pollOwners();
 
     NodeContext& context_;
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -286,6 +286,12 @@
     }
 }
 
+// Once the membership has expired, another owner may have accepted the job.
+HttpResponse OwnedPartition::unknownJobResponse() const
+{
+    return { context_.membershipLease.valid(BootClock::now()) ? 410U : notOwnerStatus };
+}
+
 void OwnedPartition::query(const OwnerRequest& request, ResponseCallback respond)
 {
     for (const auto& [name, entry] : services_) {
@@ -306,7 +312,7 @@
             respond({ 200, platform::formatJobState(JobStatus::Active, false) });
             return;
         }
-    respond({ 410 });
+    respond(unknownJobResponse());
 }
 
 void OwnedPartition::cancel(const OwnerRequest& request, ResponseCallback respond)
@@ -319,7 +325,7 @@
             runSchedulingCycle();
             return;
         }
-    respond({ 410 });
+    respond(unknownJobResponse());
 }
 
 // Calls the function once all changes made so far are stored.
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -36,7 +36,7 @@
     bool active() const { return active_; }
     uint64_t fencingToken() const { return fencingToken_; }
 
-    // Responds with 421 until the state is loaded.
+    // Responds with 421 until the state is loaded, and when a job is unknown while the ownership is not confirmed.
     void handle(OwnerRequest&&, ResponseCallback);
     void onConfiguration();
     void onRegistry();
@@ -66,6 +66,7 @@
     void submit(OwnerRequest&&, ResponseCallback);
     void query(const OwnerRequest&, ResponseCallback);
     void cancel(const OwnerRequest&, ResponseCallback);
+    HttpResponse unknownJobResponse() const;
     void admitSubmissions();
     void callWhenStored(std::function<void()>);
     bool mayExtendLeases() const;
--- /dev/null
+++ b/test/MembershipTest.cpp
@@ -0,0 +1,142 @@
+#include "Section.h"
+
+#include "shallotdrift/Http.h"
+#include "shallotdrift/src/Node/Membership.h"
+#include "standin/StoreStandIn.h"
+
+#include <asio/ip/tcp.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+#include <fmt/format.h>
+
+namespace shallotdrift {
+
+namespace {
+
+    constexpr uint32_t partitions = 4;
+    constexpr Milliseconds membershipTimeout { 400 };
+
+    // A member of the group of owners, and the store. The store's responses to the member can be lost.
+    struct MembershipHarness {
+        enum class Store : uint8_t { Responds, LosesResponses, IsUnreachable };
+
+        MembershipHarness()
+        {
+            asio::ip::tcp::acceptor probe(io, { asio::ip::make_address("127.0.0.1"), 0 });
+            settings.storeAddress = fmt::format("127.0.0.1:{}", probe.local_endpoint().port());
+            probe.close();
+            settings.membershipTimeout = membershipTimeout;
+            storeClient = std::make_unique<internal::StoreClient>(client, settings.storeAddress);
+            context = std::make_unique<internal::NodeContext>(
+                internal::NodeContext { io, deadlines, settings, client, client, client, *storeClient });
+            server = std::make_unique<HttpServer>(io, deadlines, HttpServerOptions { settings.storeAddress },
+                [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
+                    if (mode == Store::IsUnreachable)
+                        return;
+                    ++handled;
+                    store.handle(
+                        request, mode == Store::Responds ? std::move(respond) : [](HttpResponse&&) {});
+                });
+            handleError([&] { return server->start(); }, [](const Error& error) { CPPUNIT_FAIL(error.message); });
+            membership = std::make_unique<internal::Membership>(*context,
+                internal::Membership::Callbacks {
+                    [this](uint32_t partition, uint64_t generation) { owned[partition] = generation; },
+                    [this](uint32_t partition) {
+                        owned.erase(partition);
+                        ++revocations;
+                    } });
+            membership->start();
+        }
+
+        template <typename Condition> void runUntil(Condition&& condition)
+        {
+            auto end = BootClock::now() + Milliseconds { 10000 };
+            while (!condition()) {
+                CPPUNIT_ASSERT(BootClock::now() < end);
+                io.run_for(Milliseconds { 5 });
+                store.poll(BootClock::now());
+            }
+        }
+
+        void runFor(Milliseconds time)
+        {
+            auto end = BootClock::now() + time;
+            runUntil([&] { return BootClock::now() >= end; });
+        }
+
+        // Joins or leaves as another member, whose path to the store is not disturbed. Returns what it owns.
+        size_t otherMember(const HttpRequest& request)
+        {
+            HttpMessage message;
+            message.method = request.method;
+            message.target = request.target;
+            message.body = request.body;
+            size_t count = 0;
+            store.handle(message, [&](HttpResponse&& response) {
+                HttpMessage answer;
+                answer.status = response.status;
+                answer.body = std::move(response.body);
+                count = platform::parseJoinGroupResponse(answer).partitions.size();
+            });
+            return count;
+        }
+
+        asio::io_context io { 1 };
+        DeadlineQueue deadlines { io };
+        HttpClient client { io, deadlines, HttpClientOptions {} };
+        NodeSettings settings;
+        standin::StoreStandIn store { partitions };
+        Store mode = Store::Responds;
+        size_t handled = 0; // requests of the member that had an effect
+        std::map<uint32_t, uint64_t> owned; // partition -> generation at which it was assigned
+        size_t revocations = 0;
+        std::unique_ptr<internal::StoreClient> storeClient;
+        std::unique_ptr<internal::NodeContext> context;
+        std::unique_ptr<HttpServer> server;
+        std::unique_ptr<internal::Membership> membership;
+    };
+
+} // namespace
+
+class MembershipTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(MembershipTest);
+    CPPUNIT_TEST(expiredOwnershipIsNotContinued);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an owner that goes on with its old state after another member has owned its partitions: it
+    // answered that it did not know a job which the other one had accepted, so the job's cancellation had no effect. A
+    // join whose response was lost had assigned the partitions to it again.
+    void expiredOwnershipIsNotContinued()
+    {
+        using Store = MembershipHarness::Store;
+        MembershipHarness harness;
+        harness.runUntil([&] { return harness.owned.size() == partitions; });
+        auto first = harness.owned;
+        {
+            Section section("a short loss of the store changes nothing");
+            harness.mode = Store::LosesResponses;
+            harness.runFor(Milliseconds { 100 });
+            harness.mode = Store::Responds;
+            harness.runFor(Milliseconds { 1000 });
+            CPPUNIT_ASSERT(harness.owned == first);
+            CPPUNIT_ASSERT_EQUAL(size_t { 0 }, harness.revocations);
+        }
+        platform::GroupMember other { "owners", "127.0.0.1:1-0", { internal::Membership::stateTopic() },
+            Milliseconds { 60000 }, 0 };
+        harness.mode = Store::IsUnreachable;
+        harness.runFor(2 * membershipTimeout);
+        CPPUNIT_ASSERT_EQUAL(size_t { partitions }, harness.otherMember(platform::joinGroupRequest(other)));
+        harness.otherMember(platform::leaveGroupRequest(other));
+        harness.mode = Store::LosesResponses;
+        auto handled = harness.handled;
+        harness.runUntil([&] { return harness.handled > handled; });
+        harness.mode = Store::Responds;
+        harness.runUntil([&] { return harness.revocations == partitions && harness.owned.size() == partitions; });
+        for (const auto& [partition, generation] : harness.owned)
+            CPPUNIT_ASSERT(generation > first.at(partition));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
+
+} // namespace shallotdrift
