Stop uncertain starts on draining workers

Cause: resendStarts() did not look at the state of the worker.

Change: the run is stopped instead, so the worker rejects it, and its task is placed elsewhere.

Test: ServiceSchedulerTest::uncertainStartsAreNotRepeatedOnDrainingWorkers failed before the change.

--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -268,7 +268,8 @@
 }
 
 // Adds the starts that got no response and are due to be sent again, with the same run number. Starts on unresponsive
-// workers wait, since the next incarnation of such a worker would accept them.
+// workers wait, since the next incarnation of such a worker would accept them. On draining workers the runs are stopped
+// instead, so that they end or never start, and their tasks are placed elsewhere.
 void ServiceScheduler::resendStarts(std::vector<StartOrder>& orders, const Now& now)
 {
     if (!hasUncertainStarts_)
@@ -281,6 +282,10 @@
             hasUncertainStarts_ = true;
             if (run.resendAt > now.steady || worker.unresponsive)
                 continue;
+            if (worker.info.draining) {
+                run.stopRequested = true;
+                continue;
+            }
             auto* job = find(id.job);
             auto* task = job ? job->findTask(id) : nullptr;
             if (!task || task->runNumber != run.number)
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -44,7 +44,7 @@
         }
 
         // Adds the worker to the registry.
-        void registerWorker(const std::string& id, const std::string& rack = "r1")
+        void registerWorker(const std::string& id, const std::string& rack = "r1", bool draining = false)
         {
             WorkerInfo info;
             info.id = id;
@@ -54,6 +54,7 @@
             info.capacity = { 16000, 64000, 0 };
             info.labels = { "a", rack };
             info.rack = rack;
+            info.draining = draining;
             scheduler->updateWorker(info, now.steady);
         }
 
@@ -175,6 +176,7 @@
     CPPUNIT_TEST(runsSurviveFailover);
     CPPUNIT_TEST(tasksOfLostWorkersWaitForLeaseExpiry);
     CPPUNIT_TEST(uncertainStartsAreStoppedBeforeTheNextRun);
+    CPPUNIT_TEST(uncertainStartsAreNotRepeatedOnDrainingWorkers);
     CPPUNIT_TEST(leaseExpiryOfUnresponsiveWorkersSurvivesFailover);
     CPPUNIT_TEST(recordedLeaseExpiryHoldsUntilItsRemovalIsStored);
     CPPUNIT_TEST(startsForAFormerIncarnationAreStoppedFirst);
@@ -309,6 +311,29 @@
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.plan().size());
     }
 
+    // Guards against starting a task on a worker that has been draining for long: a start without a response was sent to
+    // it again and again.
+    void uncertainStartsAreNotRepeatedOnDrainingWorkers()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(1, 1000) });
+        auto first = harness.send().at(0);
+        harness.scheduler->onNoStartResponse(first, harness.now);
+        harness.registerWorker("w1", "r1", true);
+        harness.addWorker("w2");
+        harness.advance(Milliseconds { 500 });
+        CPPUNIT_ASSERT(harness.send().empty());
+        auto stops = harness.scheduler->stopsDue(harness.now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("w1"), stops[0].worker);
+        harness.scheduler->onStopResponse(stops[0], harness.now);
+        harness.report("w1");
+        auto second = harness.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, second.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("w2"), second[0].worker);
+    }
+
     // Guards against two simultaneous runs of a task: a worker was silent, so its lease expiry was stored. It responded
     // again and its lease was extended, but the owner lost the store before it could remove the record, and the next
     // owner started the task elsewhere at the recorded time.
