Ignore registry entries without a configured service when workers are replaced

Cause: an entry of an unknown service with a worker's instance and a later start counted as the worker's next incarnation. The worker was dropped and its tasks were started elsewhere while they ran.

Change: LatestIncarnations counts only entries of configured services.

Test: NodeTest::entriesWithoutAConfiguredServiceReplaceNoWorker fails without the check.

--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -156,10 +156,10 @@
 
 void OwnedPartition::onRegistry()
 {
-    if (!active_)
+    if (!active_ || !context_.configuration)
         return;
     auto now = BootClock::now();
-    LatestIncarnations latest(context_.workerRegistry);
+    LatestIncarnations latest(context_.workerRegistry, context_.configuration->services);
     for (auto& [name, entry] : services_) {
         std::vector<std::string> unregistered;
         for (const auto& [id, worker] : entry->scheduler.workers()) {
--- a/shallotdrift/src/Node/WorkerSessions.cpp
+++ b/shallotdrift/src/Node/WorkerSessions.cpp
@@ -42,10 +42,11 @@
     }
 }
 
-LatestIncarnations::LatestIncarnations(const std::map<std::string, WorkerInfo>& registry)
+LatestIncarnations::LatestIncarnations(
+    const std::map<std::string, WorkerInfo>& registry, const std::map<std::string, ServiceConfiguration>& services)
 {
     for (const auto& [id, info] : registry) {
-        if (info.instance.empty())
+        if (info.instance.empty() || services.count(info.service) == 0)
             continue;
         auto& known = byInstance_[info.instance];
         if (!known || info.bootTime > known->bootTime)
--- a/shallotdrift/src/Node/WorkerSessions.h
+++ b/shallotdrift/src/Node/WorkerSessions.h
@@ -9,10 +9,12 @@
 
 namespace shallotdrift::internal {
 
-// The latest incarnation of the worker on each instance. The registry may still list earlier ones.
+// The latest incarnation of the worker on each instance. The registry may still list earlier ones, and entries of other
+// writers, which name no configured service.
 class LatestIncarnations {
 public:
-    explicit LatestIncarnations(const std::map<std::string, WorkerInfo>& registry);
+    LatestIncarnations(const std::map<std::string, WorkerInfo>& registry,
+        const std::map<std::string, ServiceConfiguration>& services);
     // Whether a later incarnation has started on the worker's instance.
     bool isReplaced(const WorkerInfo&) const;
 
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -4,6 +4,7 @@
 #include "shallotdrift/src/Node/FleetProtocol.h"
 #include "shallotdrift/src/Node/GuardedLoop.h"
 #include "shallotdrift/src/Node/OwnerContacts.h"
+#include "shallotdrift/src/Node/WorkerSessions.h"
 
 #include <algorithm>
 #include <asio/ip/tcp.hpp>
@@ -21,6 +22,7 @@
     CPPUNIT_TEST(requestsWhoseHandlerThrowsHaveAnOpenOutcome);
     CPPUNIT_TEST(membershipExpiresWhileTheProcessIsPaused);
     CPPUNIT_TEST(itemsThatAreNoStringsAreLeftOut);
+    CPPUNIT_TEST(entriesWithoutAConfiguredServiceReplaceNoWorker);
     CPPUNIT_TEST(silentOwnersAreKnownUntilTheyRespond);
     CPPUNIT_TEST_SUITE_END();
 
@@ -134,6 +136,27 @@
         auto list = nlohmann::json::parse(R"(["m-1",7,null,["m-2"],"m-3"])");
         CPPUNIT_ASSERT(internal::parseStringSet(list) == (std::set<std::string> { "m-1", "m-3" }));
     }
+
+    // Guards against ending the runs of a worker and starting them elsewhere because another writer left an entry for
+    // its instance with a later start.
+    void entriesWithoutAConfiguredServiceReplaceNoWorker()
+    {
+        auto entry = [](const char* id, const char* service, int64_t bootTime) {
+            WorkerInfo info;
+            info.id = id;
+            info.instance = "m-1";
+            info.service = service;
+            info.bootTime = bootTime;
+            return std::make_pair(info.id, info);
+        };
+        std::map<std::string, ServiceConfiguration> services { { "reports", { "reports", true, false } },
+            { "office", { "office", true, true } } };
+        auto worker = entry("i-1", "reports", 1000);
+        std::map<std::string, WorkerInfo> registry { worker, entry("i-2", "unknown", 2000) };
+        CPPUNIT_ASSERT(!internal::LatestIncarnations(registry, services).isReplaced(worker.second));
+        registry.insert(entry("i-3", "office", 1500));
+        CPPUNIT_ASSERT(internal::LatestIncarnations(registry, services).isReplaced(worker.second));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NodeTest);
