Record the remaining time of a lease, not its expiry as time of day

Cause: the expiry of an unresponsive worker's lease was recorded as time of day of one owner and compared with that of the next one, with 200 ms allowed between them.

Change: the record holds the remaining time and is written again every 0.5 s while the worker does not respond; the next owner counts from its reading. leaseExpiryOfUnresponsiveWorkersSurvivesFailover now runs the owner's cycle every 100 ms, as the owner does; it ran it once in 1.9 s. What it checks is unchanged.

Test: ServiceSchedulerTest::recordedLeaseExpiryDoesNotDependOnTheTimeOfDay failed before the change.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -9,7 +9,7 @@
 static constexpr char stateSuffix = '~';
 
 // Prefix of the record of unresponsive workers. Job ids consist of hexadecimal digits, so keys cannot collide.
-static constexpr char unresponsivePrefix[] = "silent/";
+static constexpr char unresponsivePrefix[] = "unresponsive/";
 
 static std::string stateKey(const std::string& id) { return id + stateSuffix; }
 
@@ -479,25 +479,37 @@
 
 std::string ServiceScheduler::unresponsiveKey() const { return unresponsivePrefix + service_; }
 
-// True if the set of unresponsive workers has changed.
-bool ServiceScheduler::updateUnresponsive(const Now& now)
+// True if the record has to be written: the set of unresponsive workers has changed, or their leases are valid for a
+// shorter time by now.
+bool ServiceScheduler::updateUnresponsive(Instant now)
 {
-    std::map<std::string, WallTime> unresponsive;
-    for (const auto& [id, worker] : workers_) {
-        auto known = unresponsive_.find(id);
+    static constexpr Milliseconds recordInterval { 500 };
+    std::set<std::string> unresponsive;
+    for (auto& [id, worker] : workers_) {
         // A worker that the previous owner found unresponsive counts as such until it has reported to this owner.
-        bool isUnresponsive = worker.unresponsive || (known != unresponsive_.end() && !worker.reported);
+        bool isUnresponsive = worker.unresponsive || (unresponsive_.count(id) != 0 && !worker.reported);
         if (!isUnresponsive || worker.runs.empty())
             continue;
-        unresponsive[id] = known != unresponsive_.end()
-            ? known->second
-            : now.wall + std::chrono::ceil<Milliseconds>(worker.lease.expiresAt() - now.steady);
+        worker.expiryRecorded = true; // already while the record is being stored
+        unresponsive.insert(id);
     }
-    for (const auto& entry : unresponsive)
-        workers_.at(entry.first).expiryRecorded = true; // already while the record is being stored
-    bool changed = unresponsive != unresponsive_;
+    bool due
+        = unresponsive != unresponsive_ || (!unresponsive.empty() && now - unresponsiveRecordedAt_ >= recordInterval);
     unresponsive_ = std::move(unresponsive);
-    return changed;
+    if (due)
+        unresponsiveRecordedAt_ = now;
+    return due;
+}
+
+// The record holds durations, since the clocks of two owners may differ by any time.
+std::string ServiceScheduler::encodeUnresponsive(Instant now) const
+{
+    if (unresponsive_.empty())
+        return {};
+    auto record = nlohmann::json::object();
+    for (const auto& id : unresponsive_)
+        record[id] = std::chrono::ceil<Milliseconds>(workers_.at(id).lease.expiresAt() - now).count();
+    return record.dump();
 }
 
 void ServiceScheduler::onRecordsStored()
@@ -506,18 +518,18 @@
         worker.expiryRecorded = worker.expiryRecorded && unresponsive_.count(id) != 0;
 }
 
-void ServiceScheduler::restoreUnresponsive(const std::string& value, const Now& now)
+void ServiceScheduler::restoreUnresponsive(const std::string& value, Instant now)
 {
-    static constexpr Milliseconds maximumClockSkew { 200 }; // between the wall clocks of the two owners
+    static constexpr Milliseconds maximumRemaining { 3600000 }; // excludes an overflow
     auto unresponsive = nlohmann::json::parse(value, nullptr, false);
     if (!unresponsive.is_object())
         return;
-    for (const auto& [id, at] : unresponsive.items())
-        if (at.is_number_integer()) {
-            auto expiry = wallTimeFromUnix(Milliseconds { at.get<int64_t>() });
-            unresponsive_[id] = expiry;
-            auto& worker = findOrAddWorker(id, now.steady);
-            worker.lease.limitExpiry(now.steady + (expiry - now.wall) + maximumClockSkew);
+    for (const auto& [id, remaining] : unresponsive.items())
+        if (remaining.is_number_integer()) {
+            unresponsive_.insert(id);
+            auto& worker = findOrAddWorker(id, now);
+            worker.lease.limitExpiry(
+                now + std::clamp(Milliseconds { remaining.get<int64_t>() }, Milliseconds { 0 }, maximumRemaining));
             worker.expiryRecorded = true;
         }
 }
@@ -525,12 +537,8 @@
 std::vector<StateRecord> ServiceScheduler::takeChangedRecords(const Now& now)
 {
     std::vector<StateRecord> records;
-    if (updateUnresponsive(now)) {
-        auto unresponsive = nlohmann::json::object();
-        for (const auto& [id, at] : unresponsive_)
-            unresponsive[id] = unixMilliseconds(at);
-        records.push_back({ unresponsiveKey(), unresponsive_.empty() ? std::string() : unresponsive.dump() });
-    }
+    if (updateUnresponsive(now.steady))
+        records.push_back({ unresponsiveKey(), encodeUnresponsive(now.steady) });
     std::vector<std::string> endedJobs;
     for (auto& [id, job] : jobs_) {
         if (!job.dirty && (job.active() || job.hasRuns()))
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -196,10 +196,10 @@
     // accepts the keys of both.
     static std::string jobIdOfKey(const std::string& key);
     static bool isStateKey(const std::string& key);
-    // Key of the record that lists unresponsive workers and when their leases expire, so that a new owner need not wait
-    // for a whole lease again.
+    // Key of the record that lists unresponsive workers and for how long their leases are valid from then on, so that a
+    // new owner need not wait for a whole lease again.
     std::string unresponsiveKey() const;
-    void restoreUnresponsive(const std::string& value, const Now&);
+    void restoreUnresponsive(const std::string& value, Instant now);
 
     // Room that long-running tasks hold on workers.
     const PlacementHolds& holds() const { return holds_; }
@@ -237,7 +237,8 @@
 
     Worker& findOrAddWorker(const std::string& id, Instant now);
     void endRunsOfFormerIncarnation(Worker&, const WorkerReport&, Instant requestedAt, const Now&);
-    bool updateUnresponsive(const Now&);
+    bool updateUnresponsive(Instant now);
+    std::string encodeUnresponsive(Instant now) const;
     Worker::Run* findRun(const std::string& worker, const TaskId&, uint32_t runNumber);
     void assign(Worker&, const TaskId&, JobTask&, const StepSpec&, uint32_t runNumber);
     void applyProgress(Worker&, const RunProgress&, const Now&);
@@ -294,7 +295,8 @@
     std::map<std::string, Worker> workers_;
     PlacementHolds holds_;
     std::vector<PackedStep> unplaced_; // long-running tasks that the last plan() could neither place nor hold room for
-    std::map<std::string, WallTime> unresponsive_; // unresponsive workers with runs -> expiry of their leases
+    std::set<std::string> unresponsive_; // unresponsive workers with runs, as last recorded
+    Instant unresponsiveRecordedAt_ {};
     std::vector<StopOrder> staleRuns_; // stops of runs reported beside a newer run of the same task on the same worker
     std::map<std::string, std::string> cordons_; // instance -> service that it is moving to
     std::set<std::string> maintenanceDue_; // instances
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -110,7 +110,7 @@
         entry->scheduler.finishRestore(currentTime());
         if (auto unresponsive = loadedRecords_.find(entry->scheduler.unresponsiveKey());
             unresponsive != loadedRecords_.end())
-            entry->scheduler.restoreUnresponsive(unresponsive->second.first, currentTime());
+            entry->scheduler.restoreUnresponsive(unresponsive->second.first, BootClock::now());
     }
     logger("owner")->info("partition={} event=active token={} jobs={} ended={} took_ms={}", number_, fencingToken_,
         activeJobs, loadedRecords_.size() - activeJobs,
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -156,7 +156,7 @@
             }
             scheduler->finishRestore(now);
             if (auto unresponsive = store.find(scheduler->unresponsiveKey()); unresponsive != store.end())
-                scheduler->restoreUnresponsive(unresponsive->second, now);
+                scheduler->restoreUnresponsive(unresponsive->second, now.steady);
         }
 
         Now now { Instant { Milliseconds { 1000000 } }, wallTimeFromUnix(Milliseconds { 1796384956000 }) };
@@ -179,6 +179,7 @@
     CPPUNIT_TEST(uncertainStartsAreNotRepeatedOnDrainingWorkers);
     CPPUNIT_TEST(leaseExpiryOfUnresponsiveWorkersSurvivesFailover);
     CPPUNIT_TEST(recordedLeaseExpiryHoldsUntilItsRemovalIsStored);
+    CPPUNIT_TEST(recordedLeaseExpiryDoesNotDependOnTheTimeOfDay);
     CPPUNIT_TEST(startsForAFormerIncarnationAreStoppedFirst);
     CPPUNIT_TEST(cancelledJobsAreNotStarted);
     CPPUNIT_TEST(cordonsExemptTheNewServiceOfAnInstance);
@@ -302,8 +303,10 @@
         harness.scheduler->workers().at("w1").lease.extend(harness.now.steady);
         harness.scheduler->markUnresponsive("w1");
         for (int owner = 0; owner < 3; ++owner) {
-            harness.plan();
-            harness.advance(Milliseconds { 1900 });
+            for (int cycle = 0; cycle < 19; ++cycle) {
+                harness.plan();
+                harness.advance(Milliseconds { 100 });
+            }
             harness.failOver();
         }
         harness.addWorker("w2");
@@ -311,8 +314,8 @@
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.plan().size());
     }
 
-    // Guards against starting a task on a worker that has been draining for long: a start without a response was sent to
-    // it again and again.
+    // Guards against starting a task on a worker that has been draining for long: a start without a response was sent
+    // to it again and again.
     void uncertainStartsAreNotRepeatedOnDrainingWorkers()
     {
         SchedulerHarness harness;
@@ -395,6 +398,34 @@
         CPPUNIT_ASSERT(harness.scheduler->workers().at("w1").mayExtendLease());
     }
 
+    // Guards against two simultaneous runs of a task: the expiry of a lease was stored as time of day, and the clock of
+    // the next owner was ahead, so it started the task elsewhere too early.
+    void recordedLeaseExpiryDoesNotDependOnTheTimeOfDay()
+    {
+        for (auto clockStep : { Milliseconds { -3000 }, Milliseconds { 3000 } }) {
+            Section section(fmt::format("clock step of {} ms", clockStep.count()));
+            SchedulerHarness harness;
+            harness.addWorker("w1");
+            harness.add("a", { makeStep(1, 1000) });
+            harness.plan();
+            auto& lease = harness.scheduler->workers().at("w1").lease;
+            lease.extend(harness.now.steady);
+            auto expiry = lease.expiresAt();
+            harness.scheduler->markUnresponsive("w1");
+            harness.send();
+            harness.now.wall += clockStep;
+            harness.failOver();
+            harness.registerWorker("w2");
+            do {
+                harness.advance(Milliseconds { 50 });
+                harness.report("w2");
+                harness.scheduler->expireLeases(harness.now);
+                CPPUNIT_ASSERT(harness.now.steady < expiry + Milliseconds { 200 });
+            } while (harness.send().empty());
+            CPPUNIT_ASSERT(harness.now.steady >= expiry);
+        }
+    }
+
     // Guards against two simultaneous runs of a task: a worker lost its power and started again under its id. It
     // accepted starts that were meant for its former incarnation, while the owner took all runs of that incarnation for
     // ended and started their tasks elsewhere.
