Keep the orders of earlier managers in the record of recent orders

Cause: a manager observed the recent orders that it had read, but its first own order overwrote the record with its own orders alone, so the manager after it knew nothing of them.

Change: RecentOrders keeps the orders that were read, beside the manager's own, until their cooldown is over.

--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -55,6 +55,7 @@
     , listTimer_(context.io)
     , exchangeTimer_(context.io)
     , statusTimer_(context.io)
+    , recentOrders_(orderCooldown())
 {
 }
 
@@ -88,12 +89,9 @@
 void FleetManager::restoreRecord(const platform::KeyedRecord& record)
 {
     auto value = nlohmann::json::parse(record.value, nullptr, false);
-    if (record.key == recentOrdersKey && value.is_object()) {
-        for (const auto& [instance, at] : value.items())
-            if (at.is_number_integer()) {
-                auto since = wallNow() - wallTimeFromUnix(Milliseconds { at.get<int64_t>() });
-                planner_.setCooldown(instance, BootClock::now() + orderCooldown() - since);
-            }
+    if (record.key == recentOrdersKey && recentOrders_.restore(record.value)) {
+        for (const auto& [instance, at] : recentOrders_.byInstance())
+            planner_.setCooldown(instance, BootClock::now() + orderCooldown() - (wallNow() - at));
     } else if (record.key.rfind(waveKeyPrefix, 0) == 0 && value.is_array()) {
         auto number = parseNumber(record.key.substr(std::string_view(waveKeyPrefix).size()), UINT64_MAX);
         if (number)
@@ -325,14 +323,9 @@
     auto records = takeChangedRecords();
     if (!orders.empty()) {
         auto now = wallNow();
-        for (auto item = recentOrders_.begin(); item != recentOrders_.end();)
-            item = now - item->second > orderCooldown() ? recentOrders_.erase(item) : std::next(item);
-        auto recent = nlohmann::json::object();
         for (const auto& order : orders)
-            recentOrders_[order.instance] = now;
-        for (const auto& [instance, at] : recentOrders_)
-            recent[instance] = unixMilliseconds(at);
-        records.push_back({ recentOrdersKey, recent.dump() });
+            recentOrders_.add(order.instance, now);
+        records.push_back({ recentOrdersKey, recentOrders_.encode(now) });
     }
     auto replies = std::make_shared<std::vector<std::function<void()>>>(std::move(repliesAfterStore_));
     repliesAfterStore_.clear();
--- a/shallotdrift/src/Node/FleetManager.h
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -5,6 +5,7 @@
 #include "Membership.h"
 #include "OperatorCallRouter.h"
 #include "PartitionWriter.h"
+#include "RecentOrders.h"
 #include "RecordReader.h"
 
 namespace shallotdrift::internal {
@@ -66,7 +67,7 @@
     Instant poolsLoggedAt_ {};
     std::vector<FleetInstance> listing_; // instances of the pages read so far
     std::set<uint64_t> unstoredWaves_; // waves with maintained instances that are not stored yet
-    std::map<std::string, WallTime> recentOrders_; // instance -> time of its last order
+    RecentOrders recentOrders_;
     std::vector<std::pair<uint64_t, bool>> pendingWaveStatuses_; // {wave number, whether completed}, published in order
     bool waveStatusInFlight_ = false;
     bool instancesKnown_ = false;
--- a/shallotdrift/src/Node/WorkerSessions.h
+++ b/shallotdrift/src/Node/WorkerSessions.h
@@ -13,8 +13,8 @@
 // writers, which name no configured service.
 class LatestIncarnations {
 public:
-    LatestIncarnations(const std::map<std::string, WorkerInfo>& registry,
-        const std::map<std::string, ServiceConfiguration>& services);
+    LatestIncarnations(
+        const std::map<std::string, WorkerInfo>& registry, const std::map<std::string, ServiceConfiguration>& services);
     // Whether a later incarnation has started on the worker's instance.
     bool isReplaced(const WorkerInfo&) const;
 
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -4,6 +4,7 @@
 #include "shallotdrift/src/Node/FleetProtocol.h"
 #include "shallotdrift/src/Node/GuardedLoop.h"
 #include "shallotdrift/src/Node/OwnerContacts.h"
+#include "shallotdrift/src/Node/RecentOrders.h"
 #include "shallotdrift/src/Node/WorkerSessions.h"
 
 #include <algorithm>
@@ -23,6 +24,7 @@
     CPPUNIT_TEST(membershipExpiresWhileTheProcessIsPaused);
     CPPUNIT_TEST(itemsThatAreNoStringsAreLeftOut);
     CPPUNIT_TEST(entriesWithoutAConfiguredServiceReplaceNoWorker);
+    CPPUNIT_TEST(recentOrdersOutlastTwoHandOvers);
     CPPUNIT_TEST(silentOwnersAreKnownUntilTheyRespond);
     CPPUNIT_TEST_SUITE_END();
 
@@ -137,6 +139,26 @@
         CPPUNIT_ASSERT(internal::parseStringSet(list) == (std::set<std::string> { "m-1", "m-3" }));
     }
 
+    // Guards against an order for an instance that another manager has ordered within the cooldown: the manager between
+    // the two overwrote the record of the first one's orders with its own.
+    void recentOrdersOutlastTwoHandOvers()
+    {
+        WallTime now { Milliseconds { 1796384956000 } };
+        Milliseconds cooldown { 3300 };
+        internal::RecentOrders first(cooldown);
+        first.add("m-1", now);
+        internal::RecentOrders second(cooldown);
+        CPPUNIT_ASSERT(second.restore(first.encode(now)));
+        second.add("m-2", now + Milliseconds { 1000 });
+        internal::RecentOrders third(cooldown);
+        CPPUNIT_ASSERT(third.restore(second.encode(now + Milliseconds { 1000 })));
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, third.byInstance().size());
+        CPPUNIT_ASSERT(third.byInstance().at("m-1") == now);
+        third.encode(now + cooldown + Milliseconds { 1 });
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, third.byInstance().size());
+        CPPUNIT_ASSERT(!third.restore("[]"));
+    }
+
     // Guards against ending the runs of a worker and starting them elsewhere because another writer left an entry for
     // its instance with a later start.
     void entriesWithoutAConfiguredServiceReplaceNoWorker()
