--- a/test/MembershipTest.cpp
+++ b/test/MembershipTest.cpp
@@ -1,12 +1,11 @@
+#include "FreeAddress.h"
 #include "Section.h"
 
 #include "shallotdrift/Http.h"
 #include "shallotdrift/src/Node/Membership.h"
 #include "standin/StoreStandIn.h"
 
-#include <asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
-#include <fmt/format.h>
 
 namespace shallotdrift {
 
@@ -21,9 +20,7 @@
 
         MembershipHarness()
         {
-            asio::ip::tcp::acceptor probe(io, { asio::ip::make_address("127.0.0.1"), 0 });
-            settings.storeAddress = fmt::format("127.0.0.1:{}", probe.local_endpoint().port());
-            probe.close();
+            settings.storeAddress = freeAddress(io);
             settings.membershipTimeout = membershipTimeout;
             storeClient = std::make_unique<internal::StoreClient>(client, settings.storeAddress);
             context = std::make_unique<internal::NodeContext>(
--- a/test/NodeTest.cpp
+++ b/test/NodeTest.cpp
@@ -1,3 +1,4 @@
+#include "FreeAddress.h"
 #include "Section.h"
 
 #include "shallotdrift/Http.h"
@@ -8,7 +9,6 @@
 #include "shallotdrift/src/Node/WorkerSessions.h"
 
 #include <algorithm>
-#include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
@@ -28,13 +28,6 @@
     CPPUNIT_TEST(silentOwnersAreKnownUntilTheyRespond);
     CPPUNIT_TEST_SUITE_END();
 
-    // An address on which nothing listens at the moment.
-    static std::string freeAddress(asio::io_context& io)
-    {
-        asio::ip::tcp::acceptor probe(io, { asio::ip::make_address("127.0.0.1"), 0 });
-        return fmt::format("127.0.0.1:{}", probe.local_endpoint().port());
-    }
-
 public:
     // Guards against one unexpected error that ends the whole process: no handler of the event loop was guarded.
     void handlersThatThrowDoNotEndTheLoop()
--- a/test/WorkerSessionsTest.cpp
+++ b/test/WorkerSessionsTest.cpp
@@ -1,12 +1,11 @@
+#include "FreeAddress.h"
 #include "Section.h"
 
 #include "shallotdrift/Http.h"
 #include "shallotdrift/src/Node/WorkerSessions.h"
 #include "standin/WorkerStandIn.h"
 
-#include <asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
-#include <fmt/format.h>
 
 namespace shallotdrift {
 
@@ -20,9 +19,7 @@
     struct SessionsHarness {
         SessionsHarness()
         {
-            asio::ip::tcp::acceptor probe(io, { asio::ip::make_address("127.0.0.1"), 0 });
-            address = fmt::format("127.0.0.1:{}", probe.local_endpoint().port());
-            probe.close();
+            address = freeAddress(io);
             server = std::make_unique<HttpServer>(io, deadlines, HttpServerOptions { address },
                 [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
                     worker->handle(request, std::move(respond));
