--- a/review/stand-in-2/fleet.sh
+++ b/review/stand-in-2/fleet.sh
@@ -1,11 +1,11 @@
-# Shell functions for the scripts of the second review; sourced by review/N/run.sh, which sets `case` to its folder.
+# Shell functions for the scripts of the second review; sourced by review/N/run.sh, which sets `case` to its folder and
+# `record` to its record.txt.
 # It starts entry instances with the command of deploy/system.toml and settings like those that deploy/node.ini gives.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 TROUBLE=${TROUBLE:-1}
 program=target/shallotdrift
 stand_in=build/review-2/stand-in
-record=$case/record.txt
 process_ids=""
 directory=$(mktemp -d)
 : >"$record"
