Log unanswered starts, restarted workers and runs that are given up

Cause: the logs did not tell the incident's hypotheses apart: which starts got no response, when an owner saw a new incarnation of a worker, and on what ground it took a run for ended.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -458,21 +458,29 @@
         endRun(workerId, id, run, RunOutcome::LeaseExpired, {}, now);
 }
 
-void ServiceScheduler::expireLeases(const Now& now)
+std::vector<ServiceScheduler::ExpiredRun> ServiceScheduler::expireLeases(const Now& now)
 {
     if (!cordons_.empty() && now.steady > cordonsUntil_)
         setCordons({}, {}, now.steady); // the manager that set them is gone
     std::vector<std::string> removed;
+    std::vector<ExpiredRun> expired;
     for (auto& [id, worker] : workers_) {
         if (now.steady < worker.lease.expiresAt())
             continue;
-        if (now.steady - worker.lastResponseAt > options_.contactTimeout && !worker.runs.empty())
+        if (now.steady - worker.lastResponseAt > options_.contactTimeout && !worker.runs.empty()) {
+            auto silence = worker.reported
+                ? std::chrono::duration_cast<Milliseconds>(now.steady - worker.lastResponseAt)
+                : Milliseconds { 0 };
+            for (const auto& [task, run] : worker.runs)
+                expired.push_back({ id, task, run.number, run.unansweredStarts, silence });
             endAllRuns(id, now);
+        }
         if (!worker.registered && worker.runs.empty())
             removed.push_back(id);
     }
     for (const auto& id : removed)
         workers_.erase(id);
+    return expired;
 }
 
 // Records
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -177,9 +177,17 @@
     void markUnresponsive(const std::string& worker);
     // Ends all runs on the worker, after its lease has expired or a new incarnation has replaced it.
     void endAllRuns(const std::string& worker, const Now&);
+    // A run that was ended without a report of its worker.
+    struct ExpiredRun {
+        std::string worker;
+        TaskId task;
+        uint32_t runNumber = 0;
+        uint32_t unansweredStarts = 0;
+        Milliseconds silence { 0 }; // since the worker's last response to this owner; 0 if there was none
+    };
     // Ends the runs of workers whose leases have expired, removes workers without runs that are no longer in the
-    // registry, and drops cordons that were not renewed.
-    void expireLeases(const Now&);
+    // registry, and drops cordons that were not renewed. Returns the runs that it has ended.
+    std::vector<ExpiredRun> expireLeases(const Now&);
 
     // Decisions. plan() places waiting tasks and decides on evictions.
     std::vector<StartOrder> plan(const Now&);
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -405,7 +405,12 @@
 {
     auto now = currentTime();
     for (auto& [name, entry] : services_) {
-        entry->scheduler.expireLeases(now);
+        for (const auto& run : entry->scheduler.expireLeases(now))
+            logger("owner")->warn(
+                "request={} event=run_expired occurrence={} step={} index={} run={} worker={} unanswered_starts={} "
+                "silent_ms={}",
+                run.task.job, run.task.occurrence, run.task.step, run.task.index, run.runNumber, run.worker,
+                run.unansweredStarts, run.silence.count());
         for (const auto& order : entry->scheduler.stopsDue(now))
             entry->sessions.send(order);
         for (const auto& order : entry->scheduler.throttleBestEffort(now))
--- a/shallotdrift/src/Node/WorkerSessions.cpp
+++ b/shallotdrift/src/Node/WorkerSessions.cpp
@@ -159,6 +159,9 @@
         bool changed = scheduler_.onReport(session->worker, response.report, sentAt, currentTime());
         auto found = scheduler_.workers().find(session->worker);
         if (found != scheduler_.workers().end() && found->second.info.bootTime != session->bootTime) {
+            if (session->bootTime != 0)
+                logger("workers")->warn("dependency={} event=restarted service={} age_ms={} runs={}", session->worker,
+                    scheduler_.service(), found->second.info.bootTime - session->bootTime, found->second.runs.size());
             session->bootTime = found->second.info.bootTime;
             session->lastStoredEnd = 0; // each incarnation numbers its ends from 1
         }
@@ -218,12 +221,16 @@
     ++context_.counters.startsSent;
     context_.workerClient.send(found->second.info.address,
         platform::startRunRequest(order, nextLeaseEnd(found->second), fencingToken_), orderTimeout,
-        [this, alive = alive_, order](HttpOutcome&& outcome) {
+        [this, alive = alive_, order, sentAt = BootClock::now()](HttpOutcome&& outcome) {
             if (!*alive)
                 return;
             auto now = currentTime();
             if (!outcome.hasResponse) {
                 ++context_.counters.startsUnanswered;
+                logger("workers")->info(
+                    "request={} event=start_unanswered step={} index={} run={} worker={} sent_ms={}", order.task.job,
+                    order.task.step, order.task.index, order.runNumber, order.worker,
+                    std::chrono::duration_cast<Milliseconds>(now.steady - sentAt).count());
                 scheduler_.onNoStartResponse(order, now);
                 return;
             }
