--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -12,6 +12,8 @@
 
     constexpr char serviceName[] = "reports";
     constexpr char queueName[] = "render";
+    // The longest lease that a worker accepts, 10 s, on a clock that is 2% slow.
+    constexpr Milliseconds longestLease { 10204 };
 
     StepSpec makeStep(uint32_t count, int64_t milliCores, std::vector<uint32_t> dependsOn = {})
     {
@@ -132,6 +134,20 @@
             return orders[0];
         }
 
+        // Time from now on until the owner starts a task again, on the worker "w2", while the others are silent.
+        Duration timeUntilNextStart()
+        {
+            registerWorker("w2");
+            auto begin = now.steady;
+            do {
+                advance(Milliseconds { 50 });
+                report("w2");
+                scheduler->expireLeases(now);
+                CPPUNIT_ASSERT(now.steady < begin + Milliseconds { 60000 });
+            } while (send().empty());
+            return now.steady - begin;
+        }
+
         // Replaces the scheduler by that of a new owner, which reads the records of the previous owner.
         void failOver()
         {
@@ -181,6 +197,10 @@
     CPPUNIT_TEST(recordedLeaseExpiryHoldsUntilItsRemovalIsStored);
     CPPUNIT_TEST(recordedLeaseExpiryDoesNotDependOnTheTimeOfDay);
     CPPUNIT_TEST(startsForAFormerIncarnationAreStoppedFirst);
+    CPPUNIT_TEST(nextOwnersAllowForTheLeaseOfARestartedWorker);
+    CPPUNIT_TEST(runsOfAnUnseenIncarnationOutlastTheLeaseOfTheKnownOne);
+    CPPUNIT_TEST(nextOwnersAllowForAnOwnerThatStillExtendsLeases);
+    CPPUNIT_TEST(nextOwnersAllowForALongLeaseAfterTheFirstReport);
     CPPUNIT_TEST(cancelledJobsAreNotStarted);
     CPPUNIT_TEST(cordonsExemptTheNewServiceOfAnInstance);
     CPPUNIT_TEST(dueOccurrencesAreOpenedWithinALimit);
@@ -479,6 +499,93 @@
         CPPUNIT_ASSERT(scheduler.workers().at("w1").lease.expiresAt() > harness.now.steady + Milliseconds { 10000 });
     }
 
+    // Guards against two simultaneous runs of a task: a worker started again under its id and took a lease end that was
+    // meant for its former incarnation. The owner knew of the longer lease, but the next owner did not.
+    void nextOwnersAllowForTheLeaseOfARestartedWorker()
+    {
+        SchedulerHarness harness;
+        harness.bootTimes["w1"] = 1;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(1, 1000) });
+        harness.plan();
+        harness.bootTimes["w1"] = 2;
+        auto leaseEnd = harness.now.steady + longestLease;
+        harness.report("w1");
+        auto again = harness.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, again.size());
+        harness.scheduler->workers().at("w1").lease.extend(harness.now.steady);
+        harness.report("w1", { { again[0].task, again[0].runNumber, {}, 10, 0 } });
+        harness.advance(Milliseconds { 1000 });
+        harness.failOver();
+        CPPUNIT_ASSERT(harness.timeUntilNextStart() > Milliseconds { 0 });
+        CPPUNIT_ASSERT(harness.now.steady >= leaseEnd);
+    }
+
+    // Guards against two simultaneous runs of a task: a start without a response was carried out by the next
+    // incarnation of its worker, which the owner did not hear of. The lease of the former incarnation says nothing
+    // about that run.
+    void runsOfAnUnseenIncarnationOutlastTheLeaseOfTheKnownOne()
+    {
+        static constexpr Milliseconds executionDelay { 1000 };
+        for (bool ownerChanges : { false, true }) {
+            Section section(ownerChanges ? "the next owner" : "the owner that sent the start");
+            SchedulerHarness harness;
+            harness.bootTimes["w1"] = 1;
+            harness.addWorker("w1");
+            harness.add("a", { makeStep(1, 1000) });
+            auto order = harness.send().at(0);
+            harness.scheduler->workers().at("w1").lease.extend(harness.now.steady);
+            auto leaseEnd = harness.now.steady + executionDelay + longestLease;
+            harness.advance(Milliseconds { 700 });
+            harness.scheduler->onNoStartResponse(order, harness.now);
+            harness.scheduler->markUnresponsive("w1");
+            harness.send();
+            if (ownerChanges) {
+                harness.advance(Milliseconds { 1500 });
+                harness.send();
+                harness.failOver();
+            }
+            harness.timeUntilNextStart();
+            CPPUNIT_ASSERT(harness.now.steady >= leaseEnd);
+        }
+    }
+
+    // Guards against two simultaneous runs of a task: the store assigned all partitions anew while an owner was cut off
+    // from it. That owner extended leases until 3.5 s after its last confirmed join.
+    void nextOwnersAllowForAnOwnerThatStillExtendsLeases()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(1, 1000) });
+        harness.plan();
+        harness.send();
+        auto& formerLease = harness.scheduler->workers().at("w1").lease;
+        formerLease.extend(harness.now.steady + Milliseconds { 3500 });
+        auto leaseEnd = formerLease.expiresAt();
+        harness.failOver();
+        harness.timeUntilNextStart();
+        CPPUNIT_ASSERT(harness.now.steady >= leaseEnd);
+    }
+
+    // Guards against two simultaneous runs of a task: a new owner heard of a worker once, whose former owner had not
+    // noticed that it had started again. The worker held the longest lease, of a call for its former incarnation.
+    void nextOwnersAllowForALongLeaseAfterTheFirstReport()
+    {
+        SchedulerHarness harness;
+        harness.bootTimes["w1"] = 1;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(1, 1000) });
+        auto order = harness.send().at(0);
+        harness.scheduler->onNoStartResponse(order, harness.now);
+        harness.bootTimes["w1"] = 2;
+        auto leaseEnd = harness.now.steady + longestLease;
+        harness.failOver();
+        harness.registerWorker("w1");
+        harness.report("w1", { { order.task, order.runNumber, {}, 10, 0 } });
+        harness.timeUntilNextStart();
+        CPPUNIT_ASSERT(harness.now.steady >= leaseEnd);
+    }
+
     // Guards against a start without a response that takes effect late, beside another run of the same task.
     void uncertainStartsAreStoppedBeforeTheNextRun()
     {
