Keep what owners believe of runs and leases in one ledger

Callers saw tasks run twice on workers that had started again under their ids and were then cut off. Cause: a new incarnation with the same id accepts calls for the former one, whose lease ends are on another clock, so it may hold up to the longest lease, and may run what its owner takes for lost. Owners allowed for that in one of four places: not after a takeover, not for a start without a response, not after their first report from a worker, and not for a call that was carried out after the new incarnation had been heard of. Change: RunLedger, with WorkerLease and Worker, holds these beliefs, what is stored of them, and a check of the invariant that nothing that runs outlasts what a next owner would assume. An incarnation that is noticed raises the fencing token, and the first response to it bounds the lease. A run whose start got no response ends with the longest lease that a call in flight could have given. Starts are numbered; a record holds those without a response, and leases longer than the next owner would assume. No start is sent while its lease cannot be extended. The test harness of the scheduler now models an owner that has been in place for 20 s, since a new one allows for longer leases; bounds and checks of its tests are unchanged.

--- a/bench/OwnerBench.cpp
+++ b/bench/OwnerBench.cpp
@@ -70,7 +70,7 @@
             if (ended.empty() || ended.front().task < id || id < ended.front().task)
                 workerReport.running.push_back({ id, run.number, {}, 50, 0 });
         workerReport.ended = std::move(ended);
-        scheduler.onReport(worker, workerReport, now.steady, now);
+        scheduler.onReport(worker, workerReport, { now.steady }, now);
     }
 
     size_t plan()
--- a/shallotdrift/Jobs.h
+++ b/shallotdrift/Jobs.h
@@ -4,5 +4,7 @@
 #include "src/Jobs/Job.h"
 #include "src/Jobs/JobDescription.h"
 #include "src/Jobs/JobTypes.h"
+#include "src/Jobs/RunLedger.h"
 #include "src/Jobs/ServiceScheduler.h"
+#include "src/Jobs/Worker.h"
 #include "src/Jobs/WorkerLease.h"
--- a/shallotdrift/src/Jobs/Job.cpp
+++ b/shallotdrift/src/Jobs/Job.cpp
@@ -264,7 +264,7 @@
                 if (task.runNumber == 0 && task.state == TaskState::Waiting)
                     continue;
                 tasks.push_back(json::array({ number, step, index, task.state == TaskState::Completed, task.runNumber,
-                    task.failedRuns.size(), task.worker, task.checkpoint, task.failedRuns }));
+                    task.failedRuns.size(), task.worker, task.checkpoint, task.failedRuns, task.startNumber }));
             }
     auto open = json::array();
     for (const auto& entry : openOccurrences_)
@@ -297,6 +297,8 @@
                 task->failedRuns = entry.at(8).get<std::vector<uint32_t>>();
             else
                 task->failedRuns.assign(std::min(entry.at(5).get<size_t>(), maximumAttemptsKept), 0);
+            if (entry.size() > 9)
+                task->startNumber = entry.at(9).get<uint64_t>();
             task->worker = entry.at(6).get<std::string>();
             task->checkpoint = entry.at(7).get<std::string>();
             if (entry.at(3).get<bool>()) {
--- a/shallotdrift/src/Jobs/Job.h
+++ b/shallotdrift/src/Jobs/Job.h
@@ -21,6 +21,7 @@
     TaskState state = TaskState::Waiting;
     bool available = false; // long-running tasks: the worker reports 100 percent progress
     uint32_t runNumber = 0; // number of the newest run; 0 before the first
+    uint64_t startNumber = 0; // of the newest run's start order among those of the service; 0: unknown, see RunLedger
     // Numbers of the runs that ended with RunOutcome::Failed. A worker reports an end again until it is acknowledged,
     // also to the next owner, so a count alone could include a failure twice. 0: from a record that has only the count.
     std::vector<uint32_t> failedRuns;
--- a/shallotdrift/src/Jobs/JobTypes.h
+++ b/shallotdrift/src/Jobs/JobTypes.h
@@ -158,6 +158,12 @@
     std::string checkpoint {};
 };
 
+// A call whose response is being handled.
+struct SentCall {
+    Instant sentAt;
+    uint32_t stage = 0; // WorkerLease::stage() when it was sent
+};
+
 struct WorkerReport {
     Milliseconds clock { 0 }; // reading of the worker's steady clock
     int64_t bootTime = 0; // start of the incarnation, Unix milliseconds; 0: not in the report
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -8,8 +8,9 @@
 
 bool ServiceScheduler::isSchedulable(const Worker& worker, Instant now) const
 {
-    return worker.registered && worker.reported && !worker.unresponsive && !worker.info.draining && !worker.cordoned
-        && worker.quarantinedUntil <= now && now - worker.lastResponseAt < options_.contactTimeout;
+    return worker.registered && worker.reported && !worker.unresponsive && worker.lease.hasClockSample()
+        && !worker.info.draining && !worker.cordoned && worker.quarantinedUntil <= now
+        && now - worker.lastResponseAt < options_.contactTimeout;
 }
 
 std::vector<Worker*> ServiceScheduler::schedulableWorkers(Instant now)
--- /dev/null
+++ b/shallotdrift/src/Jobs/RunLedger.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Worker.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace shallotdrift {
+
+// A change of the stored state; an empty value removes the key.
+struct StateRecord {
+    std::string key {};
+    std::string value {};
+};
+
+// What the owner of a service knows about the end of runs on silent workers, and what it stores of that so that the
+// next owner never takes a run for ended too early. Two records of the service hold it:
+// - the unresponsive workers, with the remaining time of their leases, which are not extended meanwhile;
+// - the start orders that may have got no response, by their numbers, and the remaining time of leases that are longer
+//   than the next owner would assume.
+// Times are stored as durations, since the clocks of two owners may differ by any time.
+class RunLedger {
+public:
+    using Workers = std::map<std::string, Worker>;
+
+    RunLedger(const std::string& service, const LeaseOptions&, Instant takenOverAt);
+
+    // Keys of the two records.
+    const std::string& unresponsiveKey() const { return unresponsiveKey_; }
+    const std::string& startsKey() const { return startsKey_; }
+    // Reads the records of the previous owner; empty: there is none. To be called before the first worker is added.
+    void restore(const std::string& unresponsive, const std::string& starts, Instant now);
+
+    // A worker that the owner has not heard of yet.
+    Worker makeWorker(const std::string& id) const;
+
+    // Start orders are numbered within the service, across owners.
+    uint64_t makeStartNumber() { return nextStart_++; }
+    // To be called for each start number in the stored state of jobs. Returns true if the previous owner may have had
+    // no response to the order.
+    bool restoreStart(uint64_t number);
+
+    // The run has ended by this time if its worker does not respond until then.
+    static Instant latestEnd(const Worker& worker, const Worker::Run& run)
+    {
+        return run.doubtful() ? worker.lease.unseenExpiresAt() : worker.lease.expiresAt();
+    }
+
+    // The records that have to be written now, in the same append as the runs that were placed since the last call.
+    std::vector<StateRecord> takeChangedRecords(Workers&, Instant now);
+    // To be called when the records of the last takeChangedRecords() are stored.
+    void onRecordsStored(Workers&) const;
+
+    // Describes the first run that a next owner could take for ended before this owner does; nullopt if there is none.
+    std::optional<std::string> findViolation(const Workers&, Instant now) const;
+
+private:
+    struct RecordedExpiry {
+        Instant at;
+        std::optional<int64_t> bootTime; // of the incarnation that held the lease; nullopt: unknown
+    };
+
+    bool updateUnresponsive(Workers&, Instant now);
+    std::string encodeUnresponsive(const Workers&, Instant now);
+    bool recordsDue(const Workers&, Instant now) const;
+    std::string encodeStarts(const Workers&, Instant now);
+    bool isRecordedAsDoubtful(uint64_t number) const;
+    Instant longLeaseExpiry(const Workers&, Instant now) const;
+
+    std::string unresponsiveKey_;
+    std::string startsKey_;
+    const LeaseOptions* options_;
+    Instant takenOverAt_;
+    Instant restoredLongExpiry_ {};
+    std::map<std::string, RecordedExpiry> unresponsive_; // unresponsive workers with runs, as last recorded
+    uint64_t nextStart_ = 1;
+    // The starts record as last written: orders in the set, and those from the limit on, may have got no response.
+    std::set<uint64_t> doubtfulStarts_;
+    uint64_t doubtfulFrom_ = 0;
+    Instant longExpiry_ {}; // latest expiry of a lease that is longer than the next owner would assume
+    Instant recordedAt_ {};
+};
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -1,22 +1,19 @@
 #include "ServiceScheduler.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace shallotdrift {
 
 // The key of a job's state is the job's id with this suffix; the key of its specification is the id alone.
 static constexpr char stateSuffix = '~';
 
-// Prefix of the record of unresponsive workers. Job ids consist of hexadecimal digits, so keys cannot collide.
-static constexpr char unresponsivePrefix[] = "unresponsive/";
-
 static std::string stateKey(const std::string& id) { return id + stateSuffix; }
 
 ServiceScheduler::ServiceScheduler(std::string service, const ServiceSchedulerOptions& options, Instant now)
     : service_(std::move(service))
     , options_(options)
     , takeoverAt_(now)
+    , ledger_(service_, options_.lease, now)
 {
 }
 
@@ -94,13 +91,12 @@
 
 // Workers
 
-Worker& ServiceScheduler::findOrAddWorker(const std::string& id, Instant now)
+Worker& ServiceScheduler::findOrAddWorker(const std::string& id)
 {
     auto found = workers_.find(id);
     if (found != workers_.end())
         return found->second;
-    Worker worker(WorkerLease(options_.lease, now));
-    worker.info.id = id;
+    auto worker = ledger_.makeWorker(id);
     worker.registered = false;
     return workers_.emplace(id, std::move(worker)).first->second;
 }
@@ -116,7 +112,7 @@
 
 void ServiceScheduler::updateWorker(const WorkerInfo& info, Instant now)
 {
-    auto& worker = findOrAddWorker(info.id, now);
+    auto& worker = findOrAddWorker(info.id);
     auto bootTime = worker.info.bootTime;
     if (info.draining && !worker.info.draining)
         worker.drainingSince = now;
@@ -152,9 +148,18 @@
 }
 
 void ServiceScheduler::assign(Worker& worker, const TaskId& id, JobTask& task, const StepSpec& step, uint32_t runNumber)
+{
+    task.runNumber = runNumber;
+    task.startNumber = ledger_.makeStartNumber();
+    task.worker = worker.info.id;
+    addRun(worker, id, task, step);
+}
+
+void ServiceScheduler::addRun(Worker& worker, const TaskId& id, JobTask& task, const StepSpec& step)
 {
     Worker::Run run;
-    run.number = runNumber;
+    run.number = task.runNumber;
+    run.startNumber = task.startNumber;
     run.allocated = step.reservedResources();
     run.bestEffort = step.bestEffort;
     run.longRunning = step.longRunning;
@@ -163,25 +168,27 @@
     worker.allocated += run.allocated;
     worker.runs.insert_or_assign(id, run);
     task.state = TaskState::Placed;
-    task.runNumber = runNumber;
-    task.worker = worker.info.id;
     task.available = false;
 }
 
 bool ServiceScheduler::onReport(
-    const std::string& workerId, const WorkerReport& report, Instant requestedAt, const Now& now)
-{
-    auto& worker = findOrAddWorker(workerId, now.steady);
-    if (report.bootTime != 0 && worker.info.bootTime != 0 && report.bootTime != worker.info.bootTime) {
-        endRunsOfFormerIncarnation(worker, report, requestedAt, now);
-        worker.lastAppliedEnd = 0;
-        worker.lease = WorkerLease::ofNewIncarnation(options_.lease, now.steady);
-    }
+    const std::string& workerId, const WorkerReport& report, const SentCall& call, const Now& now)
+{
+    auto& worker = findOrAddWorker(workerId);
+    if (report.bootTime != 0 && worker.info.bootTime != 0 && report.bootTime != worker.info.bootTime)
+        beginIncarnation(worker, report, call.sentAt, now);
+    else if (worker.lease.isOtherClock(report.clock, call.sentAt))
+        worker.lease.beginIncarnation(now.steady); // the clock stood still, and the lease with it
+    bool asRecorded = !worker.reported && worker.recordedBootTime && *worker.recordedBootTime == report.bootTime;
+    worker.lease.confirmStage(call.stage, asRecorded, now.steady);
     if (report.bootTime != 0)
         worker.info.bootTime = report.bootTime;
     worker.lease.sampleClock(report.clock, now.steady);
     worker.lastResponseAt = now.steady;
     bool changed = !worker.reported || worker.unresponsive;
+    if (!worker.reported)
+        for (auto& [id, run] : worker.runs)
+            run.doubtfulSinceTakeover = false; // the worker rejects orders of previous owners from now on
     worker.reported = true;
     worker.unresponsive = false;
 
@@ -197,13 +204,31 @@
     std::vector<std::pair<TaskId, uint32_t>> absent;
     if (!report.endsTruncated) // otherwise a run that the report does not list may have ended in any way
         for (const auto& [id, run] : worker.runs)
-            if (run.confirmed && run.confirmedAt <= requestedAt && run.lastReportNumber != worker.reportCount)
+            if (run.confirmed && run.confirmedAt <= call.sentAt && run.lastReportNumber != worker.reportCount)
                 absent.emplace_back(id, run.number);
     for (const auto& [id, run] : absent)
         endRun(workerId, id, run, RunOutcome::Stopped, {}, now);
     return changed || !absent.empty() || !staleRuns_.empty();
 }
 
+bool ServiceScheduler::onClockReading(
+    const std::string& workerId, Milliseconds clock, const SentCall& call, const Now& now)
+{
+    auto found = workers_.find(workerId);
+    if (found == workers_.end() || call.stage != found->second.lease.stage()
+        || !found->second.lease.isOtherClock(clock, call.sentAt))
+        return true;
+    found->second.lease.beginIncarnation(now.steady); // its next report will show its runs
+    return false;
+}
+
+void ServiceScheduler::beginIncarnation(Worker& worker, const WorkerReport& report, Instant requestedAt, const Now& now)
+{
+    endRunsOfFormerIncarnation(worker, report, requestedAt, now);
+    worker.lastAppliedEnd = 0;
+    worker.lease.beginIncarnation(now.steady);
+}
+
 // A new incarnation with the same id has none of the runs of the former one, but it accepts start orders that were sent
 // to the former one. Runs that it may have started, or may still start, are kept: those that it reports as they are,
 // the others until a stop makes it reject them.
@@ -367,8 +392,9 @@
     if (!run)
         return false;
     auto* job = find(order.task.job);
-    if (!run->startSent && (!job || !job->active() || run->stopRequested)) {
-        endRun(order.worker, order.task, order.runNumber, RunOutcome::Stopped, {}, now);
+    bool obsolete = !run->startSent && (!job || !job->active() || run->stopRequested);
+    if (obsolete || !workers_.at(order.worker).mayExtendLease()) {
+        withholdStart(order, now);
         return false;
     }
     run->startSent = true;
@@ -379,6 +405,19 @@
     return true;
 }
 
+void ServiceScheduler::withholdStart(const StartOrder& order, const Now& now)
+{
+    auto* run = findRun(order.worker, order.task, order.runNumber);
+    if (!run)
+        return;
+    if (!run->startSent) {
+        endRun(order.worker, order.task, order.runNumber, RunOutcome::Stopped, {}, now);
+        return;
+    }
+    run->resendAt = now.steady + options_.orderRetryInterval;
+    hasUncertainStarts_ = true;
+}
+
 void ServiceScheduler::onStartResponse(const StartOrder& order, StartRefusal refusal, const Now& now)
 {
     auto* run = findRun(order.worker, order.task, order.runNumber);
@@ -467,17 +506,19 @@
     for (auto& [id, worker] : workers_) {
         if (now.steady < worker.lease.expiresAt())
             continue;
-        if (now.steady - worker.lastResponseAt > options_.contactTimeout && !worker.runs.empty()) {
+        if (now.steady - worker.lastResponseAt > options_.contactTimeout) {
             auto silence = worker.reported
                 ? std::chrono::duration_cast<Milliseconds>(now.steady - worker.lastResponseAt)
                 : Milliseconds { 0 };
             for (const auto& [task, run] : worker.runs)
-                expired.push_back({ id, task, run.number, run.unansweredStarts, silence });
-            endAllRuns(id, now);
+                if (now.steady >= RunLedger::latestEnd(worker, run))
+                    expired.push_back({ id, task, run.number, run.doubtful(), silence });
         }
         if (!worker.registered && worker.runs.empty())
             removed.push_back(id);
     }
+    for (const auto& run : expired)
+        endRun(run.worker, run.task, run.runNumber, RunOutcome::LeaseExpired, {}, now);
     for (const auto& id : removed)
         workers_.erase(id);
     return expired;
@@ -485,68 +526,11 @@
 
 // Records
 
-std::string ServiceScheduler::unresponsiveKey() const { return unresponsivePrefix + service_; }
-
-// True if the record has to be written: the set of unresponsive workers has changed, or their leases are valid for a
-// shorter time by now.
-bool ServiceScheduler::updateUnresponsive(Instant now)
-{
-    static constexpr Milliseconds recordInterval { 500 };
-    std::set<std::string> unresponsive;
-    for (auto& [id, worker] : workers_) {
-        // A worker that the previous owner found unresponsive counts as such until it has reported to this owner.
-        bool isUnresponsive = worker.unresponsive || (unresponsive_.count(id) != 0 && !worker.reported);
-        if (!isUnresponsive || worker.runs.empty())
-            continue;
-        worker.expiryRecorded = true; // already while the record is being stored
-        unresponsive.insert(id);
-    }
-    bool due
-        = unresponsive != unresponsive_ || (!unresponsive.empty() && now - unresponsiveRecordedAt_ >= recordInterval);
-    unresponsive_ = std::move(unresponsive);
-    if (due)
-        unresponsiveRecordedAt_ = now;
-    return due;
-}
-
-// The record holds durations, since the clocks of two owners may differ by any time.
-std::string ServiceScheduler::encodeUnresponsive(Instant now) const
-{
-    if (unresponsive_.empty())
-        return {};
-    auto record = nlohmann::json::object();
-    for (const auto& id : unresponsive_)
-        record[id] = std::chrono::ceil<Milliseconds>(workers_.at(id).lease.expiresAt() - now).count();
-    return record.dump();
-}
-
-void ServiceScheduler::onRecordsStored()
-{
-    for (auto& [id, worker] : workers_)
-        worker.expiryRecorded = worker.expiryRecorded && unresponsive_.count(id) != 0;
-}
-
-void ServiceScheduler::restoreUnresponsive(const std::string& value, Instant now)
-{
-    static constexpr Milliseconds maximumRemaining { 3600000 }; // excludes an overflow
-    auto unresponsive = nlohmann::json::parse(value, nullptr, false);
-    if (!unresponsive.is_object())
-        return;
-    for (const auto& [id, remaining] : unresponsive.items())
-        if (remaining.is_number_integer()) {
-            unresponsive_.insert(id);
-            auto& worker = findOrAddWorker(id, now);
-            worker.lease.limitExpiry(
-                now + std::clamp(Milliseconds { remaining.get<int64_t>() }, Milliseconds { 0 }, maximumRemaining));
-            worker.expiryRecorded = true;
-        }
-}
+void ServiceScheduler::onRecordsStored() { ledger_.onRecordsStored(workers_); }
 
 std::vector<StateRecord> ServiceScheduler::takeChangedRecords(const Now& now)
 {
-    std::vector<StateRecord> records;
-    if (updateUnresponsive(now.steady))
-        records.push_back({ unresponsiveKey(), encodeUnresponsive(now.steady) });
+    auto records = ledger_.takeChangedRecords(workers_, now.steady);
     std::vector<std::string> endedJobs;
     for (auto& [id, job] : jobs_) {
         if (!job.dirty && (job.active() || job.hasRuns()))
@@ -603,10 +587,11 @@
         job.forEachTask([&](const TaskId& taskId, JobTask& task) {
             if (task.worker.empty())
                 return;
-            auto& worker = findOrAddWorker(task.worker, now.steady);
-            assign(worker, taskId, task, jobs_.at(taskId.job).spec().steps[taskId.step], task.runNumber);
+            auto& worker = findOrAddWorker(task.worker);
+            addRun(worker, taskId, task, jobs_.at(taskId.job).spec().steps[taskId.step]);
             auto& run = worker.runs.at(taskId);
             run.startSent = true;
+            run.doubtfulSinceTakeover = ledger_.restoreStart(task.startNumber);
             run.confirmed = true; // the first report under this owner's fencing token shows whether the run is active
             run.confirmedAt = now.steady;
             run.lastProgressAt = now.steady;
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -2,8 +2,8 @@
 
 #include "Job.h"
 #include "PlacementHolds.h"
+#include "RunLedger.h"
 #include "TaskOrder.h"
-#include "WorkerLease.h"
 #include "WorkerPacking.h"
 
 #include <map>
@@ -59,73 +59,6 @@
     uint32_t speedPercent = 100; // 100: not throttled
 };
 
-// A change of the stored state; an empty value removes the key.
-struct StateRecord {
-    std::string key {};
-    std::string value {};
-};
-
-// The owner's state of one worker.
-struct Worker {
-    // A run that is assigned to the worker or that the worker reports.
-    struct Run {
-        uint32_t number = 0;
-        Resources allocated;
-        bool bestEffort = false;
-        bool longRunning = false;
-        Milliseconds tailLatencyTarget { 0 };
-        Milliseconds estimatedDuration { 0 };
-        bool startSent = false; // the start order may have reached the worker
-        bool startUncertain = false; // the start order got no response, so it may still take effect
-        uint32_t unansweredStarts = 0; // start orders of this owner that are in flight or got no response
-        bool confirmed = false; // a response covers this run, so reports requested after confirmedAt show its state
-        Instant confirmedAt {};
-        Instant resendAt {}; // when to resend a start order that got no response
-        bool stopRequested = false;
-        Instant stopSentAt {};
-        int32_t progressPercent = 0;
-        Instant lastProgressAt {}; // last rise of progressPercent
-        Milliseconds tailLatency { 0 }; // of serving tasks
-        uint32_t speedPercent = 100; // of the last ThrottleOrder
-        Instant speedChangedAt {};
-        Instant belowTargetSince {}; // serving tasks: start of the period with a tail latency well below the target
-        uint64_t lastReportNumber = 0; // Worker::reportCount of the last report that lists the run
-    };
-
-    explicit Worker(WorkerLease initial)
-        : lease(initial)
-    {
-    }
-
-    WorkerInfo info;
-    WorkerLease lease;
-    std::map<TaskId, Run> runs; // all runs that may be active on the worker
-    Resources allocated;
-    Resources held; // sum of the holds on the worker, which other tasks may not use; see PlacementHolds
-    uint64_t lastAppliedEnd = 0; // sequence number of the last ended run that has been applied
-    uint64_t reportCount = 0;
-    bool registered = true; // in the registry; false if removed from it, or known only from stored records
-    bool reported = false; // has reported to this owner
-    bool unresponsive = false; // the last lease renewal failed
-    bool expiryRecorded = false; // the stored record of unresponsive workers may list the worker
-    bool cordoned = false; // gets no new runs: the instance is about to leave the pool or to be maintained
-    bool maintenanceDue = false; // an open wave will take the instance out for maintenance
-    Instant lastResponseAt {};
-    Instant drainingSince {}; // set while the registry lists the worker as draining
-    Instant quarantinedUntil {};
-    double failureScore = 0; // see ServiceScheduler::updateFailureScore()
-
-    // A next owner trusts the expiry in the record, so the lease stays as it is until the removal is stored.
-    bool mayExtendLease() const { return !unresponsive && !expiryRecorded; }
-
-    Resources freeResources() const
-    {
-        Resources free = info.capacity;
-        free -= allocated;
-        return free;
-    }
-};
-
 // The scheduler of one service: decides which task runs on which worker. Uses no sockets, threads or clocks. The caller
 // sends start orders only once the records of takeChangedRecords() are stored.
 class ServiceScheduler {
@@ -163,13 +96,18 @@
         const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue, Instant until);
     std::map<std::string, Worker>& workers() { return workers_; }
     const std::map<std::string, Worker>& workers() const { return workers_; }
-    // Applies a worker's report that was requested at the time given. The next stopsDue() includes reported runs that
-    // should not be active. Returns true if there may be new tasks to place or changes to store.
-    bool onReport(const std::string& worker, const WorkerReport&, Instant requestedAt, const Now&);
-    // To be called right before a start order is sent. Returns false if the start is no longer needed, for example
-    // because the job was cancelled while the record was being stored. The run is then removed, unless an earlier order
-    // for it was sent.
+    // Applies a worker's report, the response to the call given. The next stopsDue() includes reported runs that should
+    // not be active. Returns true if there may be new tasks to place or changes to store.
+    bool onReport(const std::string& worker, const WorkerReport&, const SentCall&, const Now&);
+    // Takes a clock reading from the response to another call than one for a report. Returns false if an incarnation
+    // responded that the owner has not heard of.
+    bool onClockReading(const std::string& worker, Milliseconds clock, const SentCall&, const Now&);
+    // To be called right before a start order is sent. Returns false if the start must not be sent: the job was
+    // cancelled while the record was being stored, or the worker's lease cannot be extended. The run is then removed,
+    // unless an earlier order for it was sent.
     bool beginStart(const StartOrder&, const Now&);
+    // The same without sending the order.
+    void withholdStart(const StartOrder&, const Now&);
     void onStartResponse(const StartOrder&, StartRefusal, const Now&);
     void onNoStartResponse(const StartOrder&, const Now&);
     void onStopResponse(const StopOrder&, const Now&);
@@ -182,7 +120,7 @@
         std::string worker;
         TaskId task;
         uint32_t runNumber = 0;
-        uint32_t unansweredStarts = 0;
+        bool doubtful = false; // see Worker::Run::doubtful()
         Milliseconds silence { 0 }; // since the worker's last response to this owner; 0 if there was none
     };
     // Ends the runs of workers whose leases have expired, removes workers without runs that are no longer in the
@@ -204,10 +142,9 @@
     // accepts the keys of both.
     static std::string jobIdOfKey(const std::string& key);
     static bool isStateKey(const std::string& key);
-    // Key of the record that lists unresponsive workers and for how long their leases are valid from then on, so that a
-    // new owner need not wait for a whole lease again.
-    std::string unresponsiveKey() const;
-    void restoreUnresponsive(const std::string& value, Instant now);
+    // The records of leases and starts; restore() is to be called before the other functions of this class.
+    RunLedger& ledger() { return ledger_; }
+    const RunLedger& ledger() const { return ledger_; }
 
     // Room that long-running tasks hold on workers.
     const PlacementHolds& holds() const { return holds_; }
@@ -243,12 +180,13 @@
         WallTime endedAt {};
     };
 
-    Worker& findOrAddWorker(const std::string& id, Instant now);
+    Worker& findOrAddWorker(const std::string& id);
+    void beginIncarnation(Worker&, const WorkerReport&, Instant requestedAt, const Now&);
     void endRunsOfFormerIncarnation(Worker&, const WorkerReport&, Instant requestedAt, const Now&);
-    bool updateUnresponsive(Instant now);
-    std::string encodeUnresponsive(Instant now) const;
     Worker::Run* findRun(const std::string& worker, const TaskId&, uint32_t runNumber);
+    // Places the next run of a task.
     void assign(Worker&, const TaskId&, JobTask&, const StepSpec&, uint32_t runNumber);
+    void addRun(Worker&, const TaskId&, JobTask&, const StepSpec&);
     void applyProgress(Worker&, const RunProgress&, const Now&);
     void applyEnd(Worker&, const EndedRun&, const Now&);
     // Removes a run that has ended or never started. Its task waits again unless the outcome completes the task or
@@ -295,6 +233,7 @@
     std::string service_;
     ServiceSchedulerOptions options_;
     Instant takeoverAt_;
+    RunLedger ledger_;
     Instant settledAt_ {}; // from this time on, reports show the stops that the previous owner ordered
     std::map<std::string, QueueConfiguration> queues_;
     std::map<std::string, Job> jobs_; // active jobs, and ended ones that still have runs to stop
@@ -303,8 +242,6 @@
     std::map<std::string, Worker> workers_;
     PlacementHolds holds_;
     std::vector<PackedStep> unplaced_; // long-running tasks that the last plan() could neither place nor hold room for
-    std::set<std::string> unresponsive_; // unresponsive workers with runs, as last recorded
-    Instant unresponsiveRecordedAt_ {};
     std::vector<StopOrder> staleRuns_; // stops of runs reported beside a newer run of the same task on the same worker
     std::map<std::string, std::string> cordons_; // instance -> service that it is moving to
     std::set<std::string> maintenanceDue_; // instances
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -85,8 +85,7 @@
 
 void OwnedPartition::finishLoad()
 {
-    active_ = true;
-    onConfiguration();
+    configureServices();
     size_t activeJobs = 0;
     for (auto& [id, records] : loadedRecords_) {
         if (id.find('/') != std::string::npos)
@@ -106,12 +105,16 @@
         auto& scheduler = service(job->service()).scheduler;
         scheduler.restore(std::move(*job));
     }
+    auto recordOf = [this](const std::string& key) {
+        auto found = loadedRecords_.find(key);
+        return found == loadedRecords_.end() ? std::string() : found->second.first;
+    };
     for (auto& [name, entry] : services_) {
+        auto& ledger = entry->scheduler.ledger();
+        ledger.restore(recordOf(ledger.unresponsiveKey()), recordOf(ledger.startsKey()), BootClock::now());
         entry->scheduler.finishRestore(currentTime());
-        if (auto unresponsive = loadedRecords_.find(entry->scheduler.unresponsiveKey());
-            unresponsive != loadedRecords_.end())
-            entry->scheduler.restoreUnresponsive(unresponsive->second.first, BootClock::now());
     }
+    active_ = true;
     logger("owner")->info("partition={} event=active token={} jobs={} ended={} took_ms={}", number_, fencingToken_,
         activeJobs, loadedRecords_.size() - activeJobs,
         std::chrono::duration_cast<Milliseconds>(BootClock::now() - startedAt_).count());
@@ -140,7 +143,15 @@
 
 void OwnedPartition::onConfiguration()
 {
-    if (!active_ || !context_.configuration)
+    if (!active_)
+        return;
+    configureServices();
+    onRegistry();
+}
+
+void OwnedPartition::configureServices()
+{
+    if (!context_.configuration)
         return;
     std::map<std::string, std::map<std::string, QueueConfiguration>> byService;
     for (const auto& [name, serviceConfiguration] : context_.configuration->services)
@@ -151,7 +162,6 @@
             byService[queue.service].emplace(name, queue);
     for (auto& [name, queues] : byService)
         service(name).scheduler.setQueues(std::move(queues));
-    onRegistry();
 }
 
 void OwnedPartition::onRegistry()
@@ -407,10 +417,10 @@
     for (auto& [name, entry] : services_) {
         for (const auto& run : entry->scheduler.expireLeases(now))
             logger("owner")->warn(
-                "request={} event=run_expired occurrence={} step={} index={} run={} worker={} unanswered_starts={} "
+                "request={} event=run_expired occurrence={} step={} index={} run={} worker={} doubtful={} "
                 "silent_ms={}",
                 run.task.job, run.task.occurrence, run.task.step, run.task.index, run.runNumber, run.worker,
-                run.unansweredStarts, run.silence.count());
+                run.doubtful, run.silence.count());
         for (const auto& order : entry->scheduler.stopsDue(now))
             entry->sessions.send(order);
         for (const auto& order : entry->scheduler.throttleBestEffort(now))
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -62,6 +62,7 @@
 
     void addLoadedRecord(platform::KeyedRecord&&);
     void finishLoad();
+    void configureServices();
     Service& service(const std::string& name); // created on the first call
     void submit(OwnerRequest&&, ResponseCallback);
     void query(const OwnerRequest&, ResponseCallback);
--- a/shallotdrift/src/Node/WorkerSessions.cpp
+++ b/shallotdrift/src/Node/WorkerSessions.cpp
@@ -2,6 +2,8 @@
 
 #include "../Base/Logging.h"
 
+#include <algorithm>
+
 namespace shallotdrift::internal {
 
 static constexpr Milliseconds idleRenewalWait { 1000 };
@@ -14,6 +16,9 @@
 // interval only.
 static constexpr Milliseconds unstoredRenewalInterval { 800 };
 
+// Fencing tokens of an owner, one for each stage of a worker's lease; see WorkerLease.
+static constexpr uint32_t stagesPerOwner = 1024;
+
 WorkerSessions::WorkerSessions(
     NodeContext& context, ServiceScheduler& scheduler, uint64_t fencingToken, Callbacks callbacks)
     : context_(context)
@@ -94,10 +99,15 @@
     }
 }
 
-Milliseconds WorkerSessions::nextLeaseEnd(Worker& worker)
+uint64_t WorkerSessions::token(uint32_t stage) const
+{
+    return fencingToken_ * stagesPerOwner + std::min(stage, stagesPerOwner - 1);
+}
+
+bool WorkerSessions::isSuperseded(const std::string& worker, uint32_t stage) const
 {
-    return worker.mayExtendLease() && callbacks_.mayExtendLeases() ? worker.lease.extend(BootClock::now())
-                                                                   : worker.lease.lastRequestedEnd();
+    auto found = scheduler_.workers().find(worker);
+    return found != scheduler_.workers().end() && found->second.lease.stage() != stage;
 }
 
 void WorkerSessions::scheduleLeaseRenewal(const std::shared_ptr<Session>& session, Milliseconds time)
@@ -126,26 +136,27 @@
     session->renewalSentAt = sentAt;
     // The next incarnation of a worker that does not respond would forget its own first ends.
     auto acknowledgedEnd = session->failing ? 0 : session->lastStoredEnd;
-    platform::LeaseRenewalRequest request { session->worker, fencingToken_, acknowledgedEnd, std::nullopt,
+    SentCall call { sentAt, worker.lease.stage() };
+    platform::LeaseRenewalRequest request { session->worker, token(call.stage), acknowledgedEnd, std::nullopt,
         Milliseconds { 0 } };
-    if (worker.lease.hasClockSample() && worker.mayExtendLease() && callbacks_.mayExtendLeases())
-        request.leaseEnd = nextLeaseEnd(worker);
+    if (worker.mayExtendLease() && callbacks_.mayExtendLeases())
+        request.leaseEnd = worker.lease.extend(sentAt);
     if (worker.reported && !session->failing) {
         request.maximumWait = worker.runs.empty() ? idleRenewalWait : busyRenewalWait;
     }
     session->renewalPending = true;
     ++context_.counters.leaseRenewalsSent;
     context_.workerClient.send(session->address, platform::leaseRenewalRequest(request),
-        request.maximumWait + responseTimeout, [this, alive = alive_, session, sentAt](HttpOutcome&& outcome) {
+        request.maximumWait + responseTimeout, [this, alive = alive_, session, call](HttpOutcome&& outcome) {
             if (!*alive)
                 return;
             session->renewalPending = false;
-            onLeaseRenewalResponse(session, std::move(outcome), sentAt);
+            onLeaseRenewalResponse(session, std::move(outcome), call);
         });
 }
 
 void WorkerSessions::onLeaseRenewalResponse(
-    const std::shared_ptr<Session>& session, HttpOutcome&& outcome, Instant sentAt)
+    const std::shared_ptr<Session>& session, HttpOutcome&& outcome, const SentCall& call)
 {
     auto response = outcome.hasResponse ? platform::parseLeaseRenewalResponse(outcome.response)
                                         : platform::LeaseRenewalResponse {};
@@ -156,7 +167,7 @@
         session->failing = false;
         logJoined(session->worker);
         context_.counters.runsEnded += response.report.ended.size();
-        bool changed = scheduler_.onReport(session->worker, response.report, sentAt, currentTime());
+        bool changed = scheduler_.onReport(session->worker, response.report, call, currentTime());
         auto found = scheduler_.workers().find(session->worker);
         if (found != scheduler_.workers().end() && found->second.info.bootTime != session->bootTime) {
             if (session->bootTime != 0)
@@ -176,7 +187,10 @@
         scheduleLeaseRenewal(session, idleRenewalWait);
         return;
     case platform::LeaseRenewalStatus::Fenced:
-        callbacks_.fenced();
+        if (isSuperseded(session->worker, call.stage))
+            scheduleLeaseRenewal(session, retryDelay);
+        else
+            callbacks_.fenced();
         return;
     case platform::LeaseRenewalStatus::Failed:
         ++context_.counters.leaseRenewalsFailed;
@@ -216,12 +230,20 @@
 void WorkerSessions::send(const StartOrder& order)
 {
     auto found = scheduler_.workers().find(order.worker);
-    if (found == scheduler_.workers().end() || !scheduler_.beginStart(order, currentTime()))
+    if (found == scheduler_.workers().end())
+        return;
+    if (!callbacks_.mayExtendLeases()) {
+        scheduler_.withholdStart(order, currentTime());
+        return;
+    }
+    if (!scheduler_.beginStart(order, currentTime()))
         return;
     ++context_.counters.startsSent;
+    auto& lease = found->second.lease;
+    SentCall call { BootClock::now(), lease.stage() };
     context_.workerClient.send(found->second.info.address,
-        platform::startRunRequest(order, nextLeaseEnd(found->second), fencingToken_), orderTimeout,
-        [this, alive = alive_, order, sentAt = BootClock::now()](HttpOutcome&& outcome) {
+        platform::startRunRequest(order, lease.extend(call.sentAt), token(call.stage)), orderTimeout,
+        [this, alive = alive_, order, call](HttpOutcome&& outcome) {
             if (!*alive)
                 return;
             auto now = currentTime();
@@ -230,10 +252,14 @@
                 logger("workers")->info(
                     "request={} event=start_unanswered step={} index={} run={} worker={} sent_ms={}", order.task.job,
                     order.task.step, order.task.index, order.runNumber, order.worker,
-                    std::chrono::duration_cast<Milliseconds>(now.steady - sentAt).count());
+                    std::chrono::duration_cast<Milliseconds>(now.steady - call.sentAt).count());
                 scheduler_.onNoStartResponse(order, now);
                 return;
             }
+            if (auto clock = platform::parseClock(outcome.response);
+                clock && !scheduler_.onClockReading(order.worker, *clock, call, now))
+                logger("workers")->warn("dependency={} event=clock_went_back service={} clock_ms={}", order.worker,
+                    scheduler_.service(), clock->count());
             auto refusal = platform::parseStartRunResponse(outcome.response);
             if (refusal != StartRefusal::None) {
                 ++context_.counters.startsRefused;
@@ -242,7 +268,7 @@
                     order.task.job, order.task.step, order.task.index, order.runNumber, order.worker,
                     outcome.response.status, static_cast<int>(refusal));
             }
-            if (refusal == StartRefusal::Fenced)
+            if (refusal == StartRefusal::Fenced && !isSuperseded(order.worker, call.stage))
                 callbacks_.fenced();
             else if (refusal == StartRefusal::OtherIncarnation)
                 dropWorker(order.worker);
@@ -262,7 +288,8 @@
     if (order.firstSend)
         logger("workers")->info("request={} event=stop occurrence={} step={} index={} run={} worker={}", order.task.job,
             order.task.occurrence, order.task.step, order.task.index, order.runNumber, order.worker);
-    context_.workerClient.send(found->second.info.address, platform::stopRunRequest(order, fencingToken_), orderTimeout,
+    context_.workerClient.send(found->second.info.address,
+        platform::stopRunRequest(order, token(found->second.lease.stage())), orderTimeout,
         [this, alive = alive_, order](HttpOutcome&& outcome) {
             if (!*alive || !outcome.hasResponse)
                 return; // the order is repeated until the run has ended
@@ -278,8 +305,9 @@
     auto found = scheduler_.workers().find(order.worker);
     if (found == scheduler_.workers().end())
         return;
-    context_.workerClient.send(found->second.info.address, platform::throttleRequest(order, fencingToken_),
-        orderTimeout, [](HttpOutcome&&) {}); // no retry is needed: the next report shows whether the order took effect
+    context_.workerClient.send(found->second.info.address,
+        platform::throttleRequest(order, token(found->second.lease.stage())), orderTimeout,
+        [](HttpOutcome&&) {}); // no retry is needed: the next report shows whether the order took effect
 }
 
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Node/WorkerSessions.h
+++ b/shallotdrift/src/Node/WorkerSessions.h
@@ -49,6 +49,8 @@
     // Acknowledges the run ends to the workers up to the given one for each, with a lease renewal.
     void acknowledgeStoredEnds(const std::map<std::string, AppliedEnd>& ends);
 
+    // Fencing token for a call of the given stage of a worker's lease.
+    uint64_t token(uint32_t stage) const;
     void send(const StartOrder&);
     void send(const StopOrder&);
     void send(const ThrottleOrder&);
@@ -68,11 +70,12 @@
     };
 
     void sendLeaseRenewal(const std::shared_ptr<Session>&);
-    void onLeaseRenewalResponse(const std::shared_ptr<Session>&, HttpOutcome&&, Instant sentAt);
+    void onLeaseRenewalResponse(const std::shared_ptr<Session>&, HttpOutcome&&, const SentCall&);
     void scheduleLeaseRenewal(const std::shared_ptr<Session>&, Milliseconds);
     void logJoined(const std::string& worker) const;
     void dropWorker(const std::string& worker);
-    Milliseconds nextLeaseEnd(Worker&);
+    // True if a worker rejected the call because of a later stage of this owner, not because of another owner.
+    bool isSuperseded(const std::string& worker, uint32_t stage) const;
 
     NodeContext& context_;
     ServiceScheduler& scheduler_;
--- a/test/FleetSimulation.h
+++ b/test/FleetSimulation.h
@@ -211,7 +211,7 @@
         report.ended = std::move(worker.ends);
         worker.ends.clear();
         worker.reportedAt = now.steady;
-        scheduler.onReport(worker.id, report, now.steady, now);
+        scheduler.onReport(worker.id, report, { now.steady }, now);
         scheduler.workers().at(worker.id).lease.extend(now.steady);
     }
 
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -27,7 +27,12 @@
 
     // The scheduler of one service with workers of 16 cores, a store and a simulated clock.
     struct SchedulerHarness {
-        SchedulerHarness() { reset(); }
+        // The owner of a service that no other has owned recently.
+        SchedulerHarness()
+        {
+            reset();
+            advance(Milliseconds { 20000 });
+        }
 
         void reset()
         {
@@ -75,7 +80,9 @@
             workerReport.bootTime = bootTimes[worker];
             workerReport.running = std::move(running);
             workerReport.ended = std::move(ended);
-            scheduler->onReport(worker, workerReport, now.steady, now);
+            auto known = scheduler->workers().find(worker);
+            uint32_t stage = known == scheduler->workers().end() ? 0 : known->second.lease.stage();
+            scheduler->onReport(worker, workerReport, { now.steady, stage }, now);
         }
 
         void end(const StartOrder& order, RunOutcome outcome)
@@ -152,8 +159,10 @@
         void failOver()
         {
             reset();
+            scheduler->ledger().restore(
+                store[scheduler->ledger().unresponsiveKey()], store[scheduler->ledger().startsKey()], now.steady);
             for (const auto& [key, value] : store) {
-                if (value.empty() || ServiceScheduler::isStateKey(key) || key == scheduler->unresponsiveKey())
+                if (value.empty() || ServiceScheduler::isStateKey(key) || key.find('/') != std::string::npos)
                     continue;
                 auto job = Job::decodeSpec(key, value);
                 CPPUNIT_ASSERT(job);
@@ -171,8 +180,6 @@
                 scheduler->restoreEnded(id, ended.status(), ended.started(), ended.endedAt());
             }
             scheduler->finishRestore(now);
-            if (auto unresponsive = store.find(scheduler->unresponsiveKey()); unresponsive != store.end())
-                scheduler->restoreUnresponsive(unresponsive->second, now.steady);
         }
 
         Now now { Instant { Milliseconds { 1000000 } }, wallTimeFromUnix(Milliseconds { 1796384956000 }) };
@@ -560,7 +567,9 @@
         harness.plan();
         harness.send();
         auto& formerLease = harness.scheduler->workers().at("w1").lease;
-        formerLease.extend(harness.now.steady + Milliseconds { 3500 });
+        auto extendedAt = harness.now.steady + Milliseconds { 3500 };
+        formerLease.sampleClock(std::chrono::duration_cast<Milliseconds>(extendedAt.time_since_epoch()), extendedAt);
+        formerLease.extend(extendedAt);
         auto leaseEnd = formerLease.expiresAt();
         harness.failOver();
         harness.timeUntilNextStart();
@@ -706,7 +715,7 @@
         auto apply = [&] {
             harness.advance(Milliseconds { 10 });
             report.clock += Milliseconds { 10 };
-            harness.scheduler->onReport("w1", report, harness.now.steady, harness.now);
+            harness.scheduler->onReport("w1", report, { harness.now.steady }, harness.now);
         };
         for (size_t i = 0; i < 2; ++i)
             report.ended.push_back({ i + 1, orders[i].task, orders[i].runNumber, RunOutcome::Completed, {} });
--- a/test/WorkerSessionsTest.cpp
+++ b/test/WorkerSessionsTest.cpp
@@ -80,6 +80,7 @@
 class WorkerSessionsTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(WorkerSessionsTest);
     CPPUNIT_TEST(acknowledgementsAreForOneIncarnation);
+    CPPUNIT_TEST(callsForAFormerIncarnationAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -112,6 +113,41 @@
         harness.sessions.acknowledgeStoredEnds(unstored);
         harness.runUntil([&] { return harness.statistics.acknowledgedDone.size() == 3; });
     }
+
+    // Guards against a lease that outlasts what its owner knows of: a renewal for a worker's former incarnation arrived
+    // after the owner had heard of the new one.
+    void callsForAFormerIncarnationAreRejected()
+    {
+        SessionsHarness harness;
+        auto lease = [&]() -> const WorkerLease& { return harness.scheduler.workers().at(workerId).lease; };
+        harness.runUntil([&] { return lease().hasClockSample(); });
+        auto firstBoot = harness.worker->bootTime();
+        harness.runUntil([&] { return unixMilliseconds(wallNow()) > firstBoot; });
+        harness.worker = std::make_unique<standin::WorkerStandIn>(workerId, 16000, harness.statistics);
+        harness.runUntil([&] { return lease().stage() == 1; });
+        auto end = BootClock::now() + Milliseconds { 1000 }; // longer than the interval between renewals
+        harness.runUntil([&] { return BootClock::now() > end; });
+        auto status = [&](uint32_t stage) {
+            platform::LeaseRenewalRequest renewal { workerId, harness.sessions.token(stage), 0, std::nullopt,
+                Milliseconds { 0 } };
+            auto request = platform::leaseRenewalRequest(renewal);
+            HttpMessage message;
+            message.method = request.method;
+            message.target = request.target;
+            message.body = request.body;
+            std::optional<platform::LeaseRenewalStatus> result;
+            harness.worker->handle(message, [&](HttpResponse&& response) {
+                HttpMessage received;
+                received.status = response.status;
+                received.body = response.body;
+                result = platform::parseLeaseRenewalResponse(received).status;
+            });
+            harness.runUntil([&] { return result.has_value(); });
+            return *result;
+        };
+        CPPUNIT_ASSERT(status(0) == platform::LeaseRenewalStatus::Fenced);
+        CPPUNIT_ASSERT(status(1) == platform::LeaseRenewalStatus::Ok);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerSessionsTest);
