Allow for an owner that extends leases after its partition was reassigned

Callers saw tasks run twice when the store reassigned all partitions as a zone was cut off. Cause: the former owner extends leases until 3.5 s after its last confirmed join. The next owner allowed for 1.5 s of that, as if the partition could move only once the membership has expired; the store may reassign at any time. Change: both sides use one limit, LeaseOptions::previousOwnerGrace of 3.5 s. A new owner waits 2 s longer for a worker that it cannot reach and that is in no record.

--- a/shallotdrift/src/Jobs/WorkerLease.h
+++ b/shallotdrift/src/Jobs/WorkerLease.h
@@ -13,7 +13,7 @@
     double clockDriftBound = 0.02; // a worker's clock may run slow by this fraction
     Milliseconds safetyMargin { 100 }; // added to every expiry
     // Longest time for which an owner continues to extend leases after its partition has been taken over.
-    Milliseconds previousOwnerGrace { 1500 };
+    Milliseconds previousOwnerGrace { 3500 };
     // A call without a response takes effect in a later incarnation of its worker within this time or not at all.
     Milliseconds lateCallLimit { 2000 };
 
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -15,10 +15,9 @@
 static constexpr Milliseconds tickInterval { 100 };
 // An append usually takes 5 ms. While an append takes longer than this, new jobs are refused at once and do not wait.
 static constexpr Milliseconds appendStallLimit { 500 };
-// No lease is extended when the ownership has not been confirmed for this time. The next owner relies on this limit: it
-// takes over no earlier than when this owner's membership has expired, and then waits for
-// LeaseOptions::previousOwnerGrace, which is the limit minus the default membership timeout.
-static constexpr Milliseconds maximumUnconfirmedTime { 3500 };
+// No lease is extended when the ownership has not been confirmed for this time. The next owner, which may take over
+// right after the confirmation, allows for it.
+static constexpr Milliseconds maximumUnconfirmedTime = LeaseOptions {}.previousOwnerGrace;
 
 OwnedPartition::Service::Service(NodeContext& context, const std::string& name, const ServiceSchedulerOptions& options,
     uint64_t fencingToken, WorkerSessions::Callbacks callbacks)
