Count a failed run of a gang once

The failures of all members of a gang were added up, so one run that several members reported as failed counted as several attempts, and the job was shown as failed after its gang had failed once. Change: the attempts of a gang are the distinct numbers of its failed runs, which the members share. Failures without a number, from older records, count as the fewest runs that explain them: the most that one member has.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -339,6 +339,20 @@
         job.markCompleted({ id.job, id.occurrence, id.step, index }, now.wall);
 }
 
+// Number of runs of a gang that failed. The members share the run number, so a run that several of them report as
+// failed counts once. Failures without a number are counted as the fewest runs that explain them.
+static uint32_t countFailedRuns(const std::vector<JobTask>& gang)
+{
+    std::set<uint32_t> numbers;
+    ptrdiff_t withoutNumber = 0;
+    for (const auto& member : gang) {
+        numbers.insert(member.failedRuns.begin(), member.failedRuns.end());
+        withoutNumber = std::max(withoutNumber, std::count(member.failedRuns.begin(), member.failedRuns.end(), 0U));
+    }
+    numbers.erase(0);
+    return static_cast<uint32_t>(numbers.size()) + static_cast<uint32_t>(withoutNumber);
+}
+
 void ServiceScheduler::recordFailure(Job& job, const TaskId& id, JobTask& task, uint32_t runNumber, const Now& now)
 {
     const auto& step = job.spec().steps[id.step];
@@ -347,11 +361,8 @@
         return;
     failedRuns.push_back(runNumber);
     auto failures = static_cast<uint32_t>(failedRuns.size());
-    if (step.gang) { // the failures of all members of a gang are counted together
-        failures = 0;
-        for (const auto& member : job.openOccurrences().at(id.occurrence).steps[id.step].tasks)
-            failures += static_cast<uint32_t>(member.failedRuns.size());
-    }
+    if (step.gang)
+        failures = countFailedRuns(job.openOccurrences().at(id.occurrence).steps[id.step].tasks);
     if (failures >= job.maximumAttempts()) {
         job.setStatus(JobStatus::Failed, now.wall);
         stopRuns(job);
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 namespace shallotdrift {
 
@@ -186,6 +187,8 @@
     CPPUNIT_TEST(dueOccurrencesAreOpenedWithinALimit);
     CPPUNIT_TEST(failuresOfSupersededRunsCount);
     CPPUNIT_TEST(failuresAreCountedOnceAroundAHandOver);
+    CPPUNIT_TEST(failedRunsOfAGangCountOnce);
+    CPPUNIT_TEST(failedRunsOfAGangCountOnceInOlderRecords);
     CPPUNIT_TEST(workersThatWereOnlySilentKeepTheirRuns);
     CPPUNIT_TEST(evictionsWaitForStopsOfThePreviousOwner);
     CPPUNIT_TEST(lateResponseDoesNotCancelSpeculation);
@@ -781,6 +784,79 @@
             }
     }
 
+    // Guards against a job that is shown as failed after its gang has failed once: each member that reported the same
+    // run as failed counted as an attempt.
+    void failedRunsOfAGangCountOnce()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        auto gang = makeStep(3, 1000);
+        gang.gang = true;
+        harness.add("a", { gang }, 3);
+        auto failNextRun = [&](uint32_t number, const std::vector<RunOutcome>& outcomes) {
+            harness.advance(Milliseconds { 7000 }); // past the backoff and the quarantine of the worker
+            harness.report("w1");
+            auto orders = harness.plan();
+            CPPUNIT_ASSERT_EQUAL(outcomes.size(), orders.size());
+            for (size_t index = 0; index < orders.size(); ++index) {
+                CPPUNIT_ASSERT_EQUAL(number, orders[index].runNumber);
+                harness.end(orders[index], outcomes[index]);
+            }
+        };
+        {
+            Section section("a run that all members report as failed is one attempt");
+            failNextRun(1, { RunOutcome::Failed, RunOutcome::Failed, RunOutcome::Failed });
+            CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Active);
+        }
+        {
+            Section section("a run that one member reports as failed is one attempt");
+            failNextRun(2, { RunOutcome::GangBroken, RunOutcome::Failed, RunOutcome::GangBroken });
+            CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Active);
+        }
+        {
+            Section section("a next owner counts the failed runs as before");
+            harness.plan();
+            harness.failOver();
+            harness.addWorker("w1");
+            failNextRun(3, { RunOutcome::GangBroken, RunOutcome::GangBroken, RunOutcome::Failed });
+            CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Failed);
+        }
+    }
+
+    // Guards against members of a gang that count the same failed run more than once, where an older record has only
+    // the number of failures of each member.
+    void failedRunsOfAGangCountOnceInOlderRecords()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        auto gang = makeStep(2, 1000);
+        gang.gang = true;
+        harness.add("a", { gang }, 3);
+        auto orders = harness.plan();
+        harness.end(orders[0], RunOutcome::Failed);
+        harness.end(orders[1], RunOutcome::Failed);
+        harness.send();
+        auto& record = harness.store["a~"];
+        auto state = nlohmann::json::from_msgpack(record);
+        for (auto& task : state[7])
+            task.erase(8); // the numbers of the failed runs
+        record.clear();
+        nlohmann::json::to_msgpack(state, nlohmann::detail::output_adapter<char>(record));
+        harness.failOver();
+        harness.addWorker("w1");
+        for (uint32_t number = 2; number <= 3; ++number) {
+            CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Active);
+            harness.advance(Milliseconds { 7000 });
+            harness.report("w1");
+            orders = harness.plan();
+            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, orders.size());
+            CPPUNIT_ASSERT_EQUAL(number, orders[0].runNumber);
+            harness.end(orders[0], RunOutcome::Failed);
+            harness.end(orders[1], RunOutcome::Failed);
+        }
+        CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Failed);
+    }
+
     // Guards against a new worker that stays idle because the order that moved its instance to this service still
     // cordons the instance.
     void cordonsExemptTheNewServiceOfAnInstance()
