Count a job as begun once a worker has started a task

A job counted as begun when a task was placed, before any worker had started it, and nothing took that back when the start was refused. Pending was 0 while six jobs had waited for over 5 s, and the jobs were shown as running. Change: Job::started() becomes true with an accepted start, or with a run that a report lists as active or ended. A start that is refused because the run is old doesn't count, since a stop may have come first. The placement order keeps to the notion it had, now Job::placed(), in the same column of the stored state; started() has a new last column, written with the next change of the job. A record without that column shows a start by completed tasks, failures and checkpoints. A new owner counts a job whose stored runs have not been reported as waiting, so Pending is never too low, but shows it as running until the workers report or their leases expire.

--- a/shallotdrift/src/Jobs/Job.cpp
+++ b/shallotdrift/src/Jobs/Job.cpp
@@ -138,6 +138,18 @@
     return false;
 }
 
+bool Job::mayHaveStarted() const
+{
+    if (started_)
+        return true;
+    for (const auto& [number, occurrence] : openOccurrences_)
+        for (const auto& step : occurrence.steps)
+            for (const auto& task : step.tasks)
+                if (task.restored && task.state == TaskState::Placed)
+                    return true;
+    return false;
+}
+
 // Sum of a quantity of one task times the estimated duration, over the remaining tasks of all but long-running steps.
 template <typename Quantity> double Job::sumOverRemainingTime(Quantity&& quantity) const
 {
@@ -255,7 +267,7 @@
 {
     if (!active() && !hasRuns())
         return toMessagePack(json::array({ stateFormatVersion, static_cast<int>(status_), unixMilliseconds(endedAt_),
-            started_, openedCount_, closedCount_, json::array(), json::array() }));
+            placed_, openedCount_, closedCount_, json::array(), json::array(), started_ }));
     auto tasks = json::array();
     for (const auto& [number, occurrence] : openOccurrences_)
         for (size_t step = 0; step < occurrence.steps.size(); ++step)
@@ -270,7 +282,7 @@
     for (const auto& entry : openOccurrences_)
         open.push_back(entry.first);
     return toMessagePack(json::array({ stateFormatVersion, static_cast<int>(status_), unixMilliseconds(endedAt_),
-        started_, openedCount_, closedCount_, std::move(open), std::move(tasks) }));
+        placed_, openedCount_, closedCount_, std::move(open), std::move(tasks), started_ }));
 }
 
 bool Job::decodeState(std::string_view bytes)
@@ -281,9 +293,11 @@
             return false;
         status_ = static_cast<JobStatus>(row.at(1).get<int>());
         endedAt_ = wallTimeFromUnix(Milliseconds { row.at(2).get<int64_t>() });
-        started_ = row.at(3).get<bool>();
+        placed_ = row.at(3).get<bool>();
         openedCount_ = row.at(4).get<uint32_t>();
         closedCount_ = row.at(5).get<uint32_t>();
+        // A record without the last column shows a start only by what the runs have left.
+        started_ = row.size() > 8 ? row.at(8).get<bool>() : closedCount_ > 0;
         openOccurrences_.clear();
         for (const auto& number : row.at(6))
             openOccurrences_.emplace(number.get<uint32_t>(), makeOccurrence(number.get<uint32_t>()));
@@ -299,7 +313,9 @@
                 task->failedRuns.assign(std::min(entry.at(5).get<size_t>(), maximumAttemptsKept), 0);
             task->worker = entry.at(6).get<std::string>();
             task->checkpoint = entry.at(7).get<std::string>();
-            if (entry.at(3).get<bool>()) {
+            bool completed = entry.at(3).get<bool>();
+            started_ = started_ || completed || !task->failedRuns.empty() || !task->checkpoint.empty();
+            if (completed) {
                 task->state = TaskState::Completed;
                 auto& occurrence = openOccurrences_.at(entry.at(0).get<uint32_t>());
                 if (--occurrence.steps[entry.at(1).get<size_t>()].remainingTasks == 0)
--- a/shallotdrift/src/Jobs/Job.h
+++ b/shallotdrift/src/Jobs/Job.h
@@ -20,6 +20,7 @@
 struct JobTask {
     TaskState state = TaskState::Waiting;
     bool available = false; // long-running tasks: the worker reports 100 percent progress
+    bool restored = false; // the newest run is one of the previous owner
     uint32_t runNumber = 0; // number of the newest run; 0 before the first
     // Numbers of the runs that ended with RunOutcome::Failed. A worker reports an end again until it is acknowledged,
     // also to the next owner, so a count alone could include a failure twice. 0: from a record that has only the count.
@@ -58,9 +59,14 @@
     bool active() const { return status_ == JobStatus::Active; }
     void setStatus(JobStatus status, WallTime now);
     WallTime endedAt() const { return endedAt_; }
-    // True once a task of the job has been placed.
+    // True once a task of the job has been placed; the worker may not have started it.
+    bool placed() const { return placed_; }
+    void setPlaced() { placed_ = true; }
+    // True once a worker has started a task of the job. Stored with the next change of the job.
     bool started() const { return started_; }
     void setStarted() { started_ = true; }
+    // Also true while a run of the previous owner may have started, until its worker reports or its lease expires.
+    bool mayHaveStarted() const;
 
     bool recurring() const { return spec_.occurrences > 0; }
     bool longRunning() const;
@@ -120,6 +126,7 @@
     Milliseconds criticalPath_;
     JobStatus status_ = JobStatus::Active;
     WallTime endedAt_ {};
+    bool placed_ = false;
     bool started_ = false;
     uint32_t openedCount_ = 0; // occurrences below this number have been opened
     uint32_t closedCount_ = 0; // completed occurrences
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -56,8 +56,9 @@
 }
 
 // Jobs with long-running tasks come first, since they are of value as long as they run. Jobs are then ordered by
-// priority, then started jobs before others, then by soft deadline. Jobs that will miss their soft deadline come after
-// those: they are of little value, and running them first would delay other jobs beyond their soft deadlines.
+// priority, then jobs of which a task has been placed, then by soft deadline. Jobs that will miss their soft deadline
+// come after those: they are of little value, and running them first would delay other jobs beyond their soft
+// deadlines.
 std::vector<Job*> ServiceScheduler::jobsInSchedulingOrder(const Now& now)
 {
     struct Rank {
@@ -80,8 +81,8 @@
             queue == queues_.end() ? 0 : queue->second.priority, deadline, &job });
     }
     std::sort(ranks.begin(), ranks.end(), [](const Rank& left, const Rank& right) {
-        return std::make_tuple(!left.longRunning, left.overdue, left.priority, !left.job->started(), left.deadline)
-            < std::make_tuple(!right.longRunning, right.overdue, right.priority, !right.job->started(), right.deadline);
+        return std::make_tuple(!left.longRunning, left.overdue, left.priority, !left.job->placed(), left.deadline)
+            < std::make_tuple(!right.longRunning, right.overdue, right.priority, !right.job->placed(), right.deadline);
     });
     std::vector<Job*> jobs;
     jobs.reserve(ranks.size());
@@ -262,7 +263,7 @@
             if (occurrence.steps[step].remainingTasks != 0 && job.stepReady(occurrence, step))
                 placeStep(job, occurrence, step, candidates, orders, now);
     if (orders.size() > ordersBefore) {
-        job.setStarted();
+        job.setPlaced();
         job.dirty = true;
     }
 }
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -40,7 +40,7 @@
     auto found = jobs_.find(id);
     if (found != jobs_.end()) {
         if (started)
-            *started = found->second.started();
+            *started = found->second.mayHaveStarted();
         return found->second.status();
     }
     auto ended = ended_.find(id);
@@ -166,6 +166,7 @@
     task.runNumber = runNumber;
     task.worker = worker.info.id;
     task.available = false;
+    task.restored = false;
 }
 
 bool ServiceScheduler::onReport(
@@ -233,12 +234,15 @@
 
 void ServiceScheduler::applyProgress(Worker& worker, const RunProgress& progress, const Now& now)
 {
+    auto* job = find(progress.task.job);
+    if (job)
+        job->setStarted();
     auto found = worker.runs.find(progress.task);
     if (found == worker.runs.end() || found->second.number < progress.runNumber) {
         // An unexpected run, for example one that a previous owner's order started late. It is stopped.
         Worker::Run unexpected;
         unexpected.number = progress.runNumber;
-        if (auto* job = find(progress.task.job); job && progress.task.step < job->spec().steps.size())
+        if (job && progress.task.step < job->spec().steps.size())
             unexpected.allocated = job->spec().steps[progress.task.step].taskResources;
         if (found != worker.runs.end())
             worker.allocated -= found->second.allocated;
@@ -264,7 +268,6 @@
     run.progressPercent = progress.progressPercent;
     if (run.tailLatencyTarget.count() > 0)
         run.tailLatency = Milliseconds { progress.load };
-    auto* job = find(progress.task.job);
     auto* task = job ? job->findTask(progress.task) : nullptr;
     if (!task || task->runNumber != progress.runNumber || task->worker != worker.info.id)
         return;
@@ -277,6 +280,8 @@
 void ServiceScheduler::applyEnd(Worker& worker, const EndedRun& ended, const Now& now)
 {
     auto* job = find(ended.task.job);
+    if (job)
+        job->setStarted(); // a worker lists ends only of runs that it has started
     auto* task = job ? job->findTask(ended.task) : nullptr;
     if (task && task->runNumber == ended.runNumber)
         updateFailureScore(worker, *task, ended.outcome, now);
@@ -392,12 +397,14 @@
 
 void ServiceScheduler::onStartResponse(const StartOrder& order, StartRefusal refusal, const Now& now)
 {
+    auto* job = find(order.task.job);
+    if (job && refusal == StartRefusal::None)
+        job->setStarted();
     auto* run = findRun(order.worker, order.task, order.runNumber);
     if (!run)
         return;
     if (run->unansweredStarts > 0)
         --run->unansweredStarts;
-    auto* job = find(order.task.job);
     auto* task = job ? job->findTask(order.task) : nullptr;
     if (refusal == StartRefusal::None || refusal == StartRefusal::StaleRun) {
         // A stale run has already ended on the worker; the next report shows its outcome.
@@ -608,6 +615,7 @@
                 return;
             auto& worker = findOrAddWorker(task.worker, now.steady);
             assign(worker, taskId, task, jobs_.at(taskId.job).spec().steps[taskId.step], task.runNumber);
+            task.restored = true;
             auto& run = worker.runs.at(taskId);
             run.startSent = true;
             run.confirmed = true; // the first report under this owner's fencing token shows whether the run is active
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -145,7 +145,8 @@
     // Null if the job is unknown, or has ended and has no active runs.
     Job* find(const std::string& id);
     // Status of a job that is active or has ended within the status retention; nullopt for other jobs. Also sets
-    // *started to Job::started() if the status is known.
+    // *started if the status is known: true if a worker has started a task of the job, or may have for the previous
+    // owner.
     std::optional<JobStatus> statusOf(const std::string& id, bool* started = nullptr) const;
     // False if the job is unknown. An ended job keeps its status.
     bool cancel(const std::string& id, const Now&);
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -133,6 +133,16 @@
             return orders[0];
         }
 
+        size_t pending() const { return scheduler->pendingJobCount(queueName); }
+
+        // Whether an active job is shown as running rather than queued.
+        bool shownAsRunning(const std::string& id) const
+        {
+            bool started = false;
+            CPPUNIT_ASSERT(scheduler->statusOf(id, &started) == JobStatus::Active);
+            return started;
+        }
+
         // Replaces the scheduler by that of a new owner, which reads the records of the previous owner.
         void failOver()
         {
@@ -189,6 +199,10 @@
     CPPUNIT_TEST(failuresAreCountedOnceAroundAHandOver);
     CPPUNIT_TEST(failedRunsOfAGangCountOnce);
     CPPUNIT_TEST(failedRunsOfAGangCountOnceInOlderRecords);
+    CPPUNIT_TEST(jobsArePendingUntilAWorkerHasStartedATask);
+    CPPUNIT_TEST(startsWithoutAResponseCountOnceTheyAreReported);
+    CPPUNIT_TEST(startedJobsSurviveFailover);
+    CPPUNIT_TEST(jobsWithPlacedTasksKeepTheirOrder);
     CPPUNIT_TEST(workersThatWereOnlySilentKeepTheirRuns);
     CPPUNIT_TEST(evictionsWaitForStopsOfThePreviousOwner);
     CPPUNIT_TEST(lateResponseDoesNotCancelSpeculation);
@@ -857,6 +871,163 @@
         CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Failed);
     }
 
+    // Guards against jobs that count as started although none of their tasks has begun: they were placed on a worker
+    // that refused the starts, and Pending was 0 while six jobs had waited for 5 s.
+    void jobsArePendingUntilAWorkerHasStartedATask()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(2, 1000) });
+        auto orders = harness.send();
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, orders.size());
+        {
+            Section section("placed tasks, no response yet");
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.pending());
+            CPPUNIT_ASSERT(!harness.shownAsRunning("a"));
+        }
+        for (auto refusal : { StartRefusal::Unhealthy, StartRefusal::StaleRun }) {
+            Section section(fmt::format("refusal {}", static_cast<int>(refusal)));
+            harness.scheduler->onStartResponse(
+                orders[refusal == StartRefusal::Unhealthy ? 0 : 1], refusal, harness.now);
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.pending());
+            CPPUNIT_ASSERT(!harness.shownAsRunning("a"));
+        }
+        {
+            Section section("the second run is started");
+            harness.addWorker("w2");
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.plan().size());
+            CPPUNIT_ASSERT_EQUAL(size_t { 0 }, harness.pending());
+            CPPUNIT_ASSERT(harness.shownAsRunning("a"));
+        }
+    }
+
+    // Guards against jobs that count as waiting although a worker has started them, since the response to the start was
+    // lost or late.
+    void startsWithoutAResponseCountOnceTheyAreReported()
+    {
+        for (bool ended : { false, true })
+            for (bool expired : { false, true }) {
+                Section section(fmt::format("ended {}, lease expired {}", ended, expired));
+                SchedulerHarness harness;
+                harness.addWorker("w1");
+                harness.add("a", { makeStep(2, 1000) });
+                auto orders = harness.send();
+                harness.scheduler->onNoStartResponse(orders[0], harness.now);
+                CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.pending());
+                if (expired) { // the run is not expected any more
+                    harness.scheduler->endAllRuns("w1", harness.now);
+                    CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.pending());
+                }
+                if (ended)
+                    harness.report("w1", {}, { { 1, orders[0].task, 1, RunOutcome::GangBroken, {} } });
+                else
+                    harness.report("w1", { { orders[0].task, 1, {}, 0, 0 } });
+                CPPUNIT_ASSERT_EQUAL(size_t { 0 }, harness.pending());
+                CPPUNIT_ASSERT(harness.shownAsRunning("a"));
+            }
+        {
+            Section section("the response arrives after the lease has expired");
+            SchedulerHarness harness;
+            harness.addWorker("w1");
+            harness.add("a", { makeStep(1, 1000) });
+            auto orders = harness.send();
+            harness.scheduler->endAllRuns("w1", harness.now);
+            harness.scheduler->onStartResponse(orders[0], StartRefusal::None, harness.now);
+            CPPUNIT_ASSERT_EQUAL(size_t { 0 }, harness.pending());
+        }
+    }
+
+    // Guards against a next owner that counts a waiting job as started because it was placed, or shows a job as queued
+    // that has run.
+    void startedJobsSurviveFailover()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(1, 1000) });
+        auto orders = harness.send();
+        auto failOver = [&] {
+            harness.failOver();
+            harness.registerWorker("w1");
+        };
+        {
+            Section section("the first report decides on a placed job");
+            failOver();
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.pending());
+            CPPUNIT_ASSERT(harness.shownAsRunning("a"));
+            {
+                Section nested("not on the worker");
+                harness.report("w1");
+                CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.pending());
+                CPPUNIT_ASSERT(!harness.shownAsRunning("a"));
+                orders = harness.send();
+                CPPUNIT_ASSERT_EQUAL(size_t { 1 }, orders.size());
+                CPPUNIT_ASSERT(!harness.shownAsRunning("a"));
+            }
+            failOver();
+            {
+                Section nested("running");
+                harness.report("w1", { { orders[0].task, orders[0].runNumber, {}, 0, 0 } });
+                CPPUNIT_ASSERT_EQUAL(size_t { 0 }, harness.pending());
+                CPPUNIT_ASSERT(harness.shownAsRunning("a"));
+            }
+        }
+        {
+            Section section("a job that has run and waits again");
+            harness.report("w1", {}, { { 1, orders[0].task, orders[0].runNumber, RunOutcome::LeaseExpired, {} } });
+            harness.scheduler->unregisterWorker("w1");
+            harness.send();
+            failOver();
+            CPPUNIT_ASSERT_EQUAL(size_t { 0 }, harness.pending());
+            CPPUNIT_ASSERT(harness.shownAsRunning("a"));
+        }
+        {
+            Section section("an older record, in which placed jobs count as started");
+            for (bool failed : { false, true }) {
+                Section nested(fmt::format("failed {}", failed));
+                harness = {};
+                harness.addWorker("w1");
+                harness.add("a", { makeStep(1, 1000) });
+                orders = harness.send();
+                if (failed)
+                    harness.end(orders[0], RunOutcome::Failed);
+                else
+                    harness.scheduler->onStartResponse(orders[0], StartRefusal::Unhealthy, harness.now);
+                harness.send();
+                auto& record = harness.store["a~"];
+                auto state = nlohmann::json::from_msgpack(record);
+                state.erase(8); // whether a worker has started a task
+                record.clear();
+                nlohmann::json::to_msgpack(state, nlohmann::detail::output_adapter<char>(record));
+                harness.failOver();
+                CPPUNIT_ASSERT_EQUAL(size_t { failed ? 0U : 1U }, harness.pending());
+            }
+        }
+    }
+
+    // Guards against a change of the placement order: jobs of which a task was placed come first, also before any
+    // worker has started it and at a next owner.
+    void jobsWithPlacedTasksKeepTheirOrder()
+    {
+        for (bool handOver : { false, true }) {
+            Section section(fmt::format("hand-over {}", handOver));
+            SchedulerHarness harness;
+            harness.addWorker("w1");
+            auto large = makeStep(2, 10000);
+            large.estimatedDuration = Milliseconds { 900 }; // its soft deadline is later than that of the other job
+            harness.add("b", { large });
+            auto orders = harness.send(); // the worker has room for one of the two tasks
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, orders.size());
+            harness.add("a", { makeStep(1, 10000) });
+            harness.send();
+            if (handOver)
+                harness.failOver();
+            harness.addWorker("w2");
+            orders = harness.send();
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, orders.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("b"), orders[0].task.job);
+        }
+    }
+
     // Guards against a new worker that stays idle because the order that moved its instance to this service still
     // cordons the instance.
     void cordonsExemptTheNewServiceOfAnInstance()
