--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -37,7 +37,7 @@
     auto found = jobs_.find(id);
     if (found != jobs_.end()) {
         if (started)
-            *started = found->second.started();
+            *started = found->second.mayHaveStarted();
         return found->second.status();
     }
     auto ended = ended_.find(id);
@@ -169,6 +169,7 @@
     worker.runs.insert_or_assign(id, run);
     task.state = TaskState::Placed;
     task.available = false;
+    task.restored = false;
 }
 
 bool ServiceScheduler::onReport(
@@ -258,12 +259,15 @@
 
 void ServiceScheduler::applyProgress(Worker& worker, const RunProgress& progress, const Now& now)
 {
+    auto* job = find(progress.task.job);
+    if (job)
+        job->setStarted();
     auto found = worker.runs.find(progress.task);
     if (found == worker.runs.end() || found->second.number < progress.runNumber) {
         // An unexpected run, for example one that a previous owner's order started late. It is stopped.
         Worker::Run unexpected;
         unexpected.number = progress.runNumber;
-        if (auto* job = find(progress.task.job); job && progress.task.step < job->spec().steps.size())
+        if (job && progress.task.step < job->spec().steps.size())
             unexpected.allocated = job->spec().steps[progress.task.step].taskResources;
         if (found != worker.runs.end())
             worker.allocated -= found->second.allocated;
@@ -289,7 +293,6 @@
     run.progressPercent = progress.progressPercent;
     if (run.tailLatencyTarget.count() > 0)
         run.tailLatency = Milliseconds { progress.load };
-    auto* job = find(progress.task.job);
     auto* task = job ? job->findTask(progress.task) : nullptr;
     if (!task || task->runNumber != progress.runNumber || task->worker != worker.info.id)
         return;
@@ -302,6 +305,8 @@
 void ServiceScheduler::applyEnd(Worker& worker, const EndedRun& ended, const Now& now)
 {
     auto* job = find(ended.task.job);
+    if (job)
+        job->setStarted(); // a worker lists ends only of runs that it has started
     auto* task = job ? job->findTask(ended.task) : nullptr;
     if (task && task->runNumber == ended.runNumber)
         updateFailureScore(worker, *task, ended.outcome, now);
@@ -364,6 +369,20 @@
         job.markCompleted({ id.job, id.occurrence, id.step, index }, now.wall);
 }
 
+// Number of runs of a gang that failed. The members share the run number, so a run that several of them report as
+// failed counts once. Failures without a number are counted as the fewest runs that explain them.
+static uint32_t countFailedRuns(const std::vector<JobTask>& gang)
+{
+    std::set<uint32_t> numbers;
+    ptrdiff_t withoutNumber = 0;
+    for (const auto& member : gang) {
+        numbers.insert(member.failedRuns.begin(), member.failedRuns.end());
+        withoutNumber = std::max(withoutNumber, std::count(member.failedRuns.begin(), member.failedRuns.end(), 0U));
+    }
+    numbers.erase(0);
+    return static_cast<uint32_t>(numbers.size()) + static_cast<uint32_t>(withoutNumber);
+}
+
 void ServiceScheduler::recordFailure(Job& job, const TaskId& id, JobTask& task, uint32_t runNumber, const Now& now)
 {
     const auto& step = job.spec().steps[id.step];
@@ -372,11 +391,8 @@
         return;
     failedRuns.push_back(runNumber);
     auto failures = static_cast<uint32_t>(failedRuns.size());
-    if (step.gang) { // the failures of all members of a gang are counted together
-        failures = 0;
-        for (const auto& member : job.openOccurrences().at(id.occurrence).steps[id.step].tasks)
-            failures += static_cast<uint32_t>(member.failedRuns.size());
-    }
+    if (step.gang)
+        failures = countFailedRuns(job.openOccurrences().at(id.occurrence).steps[id.step].tasks);
     if (failures >= job.maximumAttempts()) {
         job.setStatus(JobStatus::Failed, now.wall);
         stopRuns(job);
@@ -420,12 +436,14 @@
 
 void ServiceScheduler::onStartResponse(const StartOrder& order, StartRefusal refusal, const Now& now)
 {
+    auto* job = find(order.task.job);
+    if (job && refusal == StartRefusal::None)
+        job->setStarted();
     auto* run = findRun(order.worker, order.task, order.runNumber);
     if (!run)
         return;
     if (run->unansweredStarts > 0)
         --run->unansweredStarts;
-    auto* job = find(order.task.job);
     auto* task = job ? job->findTask(order.task) : nullptr;
     if (refusal == StartRefusal::None || refusal == StartRefusal::StaleRun) {
         // A stale run has already ended on the worker; the next report shows its outcome.
@@ -589,6 +607,7 @@
                 return;
             auto& worker = findOrAddWorker(task.worker);
             addRun(worker, taskId, task, jobs_.at(taskId.job).spec().steps[taskId.step]);
+            task.restored = true;
             auto& run = worker.runs.at(taskId);
             run.startSent = true;
             run.doubtfulSinceTakeover = ledger_.restoreStart(task.startNumber);
