Split the state of a large job into records that the store takes

Cause: the state of a job was one record without a limit. An append of many records could pass RequestBytes in the same way. A row moves to a higher part only, higher parts are written first, and the header with the most progress counts, so a next owner has the earlier or the later state of each task after every record. Parts of an ended job are removed, its specification last. Appends are split by RequestBytes. Both limits are settings ([store] record_bytes, request_bytes). A request refused with 400 or 413 is logged with its sizes and sent in halves until the record is found; its job fails, and nothing is acknowledged or confirmed until the state is stored without it. A specification that fits no record is refused with 400. explain job reads all parts, over several pages. The stand-in of the store has both limits.

--- a/bench/OwnerBench.cpp
+++ b/bench/OwnerBench.cpp
@@ -143,7 +143,7 @@
     size_t stateBytes = 0;
     for (size_t i = 0; i < count; ++i) {
         Job job(fmt::format("{:016x}", i), queueName, serviceName, makeSpec(), WallTime {}, 3);
-        records.push_back({ job.id(), { job.encodeSpec(), job.encodeState() } });
+        records.push_back({ job.id(), { job.encodeSpec(), job.encodeState(SIZE_MAX).front() } });
         specBytes += records.back().second.first.size();
         stateBytes += records.back().second.second.size();
     }
--- a/shallotdrift/Jobs.h
+++ b/shallotdrift/Jobs.h
@@ -3,6 +3,7 @@
 
 #include "src/Jobs/Job.h"
 #include "src/Jobs/JobDescription.h"
+#include "src/Jobs/JobRecords.h"
 #include "src/Jobs/JobTypes.h"
 #include "src/Jobs/ServiceScheduler.h"
 #include "src/Jobs/WorkerLease.h"
--- a/shallotdrift/src/Jobs/Job.cpp
+++ b/shallotdrift/src/Jobs/Job.cpp
@@ -1,10 +1,13 @@
 #include "Job.h"
 
+#include "JobStateParts.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace shallotdrift {
 
+using internal::toMessagePack;
 using nlohmann::json;
 
 static constexpr size_t maximumAttemptsKept = 1000; // of a record that has only the count of failures
@@ -203,13 +206,6 @@
     return step;
 }
 
-static std::string toMessagePack(const json& value)
-{
-    std::string bytes;
-    json::to_msgpack(value, nlohmann::detail::output_adapter<char>(bytes));
-    return bytes;
-}
-
 std::string Job::encodeSpec() const
 {
     auto steps = json::array();
@@ -251,34 +247,44 @@
 
 // The encoded state has a row for each task that has been placed or is completed; all other tasks are as in a new job.
 // An ended job without active runs has no rows, since its specification is no longer stored.
-std::string Job::encodeState() const
+std::vector<std::string> Job::encodeState(size_t maximumBytes)
 {
     if (!active() && !hasRuns())
-        return toMessagePack(json::array({ stateFormatVersion, static_cast<int>(status_), unixMilliseconds(endedAt_),
-            started_, openedCount_, closedCount_, json::array(), json::array() }));
+        return { toMessagePack(json::array({ stateFormatVersion, static_cast<int>(status_), unixMilliseconds(endedAt_),
+            started_, openedCount_, closedCount_, json::array(), json::array() })) };
     auto tasks = json::array();
-    for (const auto& [number, occurrence] : openOccurrences_)
+    std::vector<uint32_t*> partOfTask;
+    for (auto& [number, occurrence] : openOccurrences_)
         for (size_t step = 0; step < occurrence.steps.size(); ++step)
             for (size_t index = 0; index < occurrence.steps[step].tasks.size(); ++index) {
-                const auto& task = occurrence.steps[step].tasks[index];
+                auto& task = occurrence.steps[step].tasks[index];
                 if (task.runNumber == 0 && task.state == TaskState::Waiting)
                     continue;
                 tasks.push_back(json::array({ number, step, index, task.state == TaskState::Completed, task.runNumber,
                     task.failedRuns.size(), task.worker, task.checkpoint, task.failedRuns }));
+                partOfTask.push_back(&task.statePart);
             }
     auto open = json::array();
     for (const auto& entry : openOccurrences_)
         open.push_back(entry.first);
-    return toMessagePack(json::array({ stateFormatVersion, static_cast<int>(status_), unixMilliseconds(endedAt_),
-        started_, openedCount_, closedCount_, std::move(open), std::move(tasks) }));
+    return internal::encodeParts(
+        json::array({ stateFormatVersion, static_cast<int>(status_), unixMilliseconds(endedAt_), started_, openedCount_,
+            closedCount_, std::move(open), json::array() }),
+        std::move(tasks), partOfTask, storedParts.size(), maximumBytes);
 }
 
-bool Job::decodeState(std::string_view bytes)
+bool Job::decodeState(const StateParts& parts)
 {
+    if (parts.empty())
+        return false;
     try {
-        auto row = json::from_msgpack(bytes);
-        if (row.at(0) != stateFormatVersion)
-            return false;
+        std::vector<json> rows;
+        for (const auto& part : parts) {
+            rows.push_back(json::from_msgpack(part.second));
+            if (rows.back().at(0) != stateFormatVersion)
+                return false;
+        }
+        const auto& row = internal::latestHeader(rows);
         status_ = static_cast<JobStatus>(row.at(1).get<int>());
         endedAt_ = wallTimeFromUnix(Milliseconds { row.at(2).get<int64_t>() });
         started_ = row.at(3).get<bool>();
@@ -287,26 +293,18 @@
         openOccurrences_.clear();
         for (const auto& number : row.at(6))
             openOccurrences_.emplace(number.get<uint32_t>(), makeOccurrence(number.get<uint32_t>()));
-        for (const auto& entry : row.at(7)) {
-            auto* task = findTask(
-                { id_, entry.at(0).get<uint32_t>(), entry.at(1).get<uint32_t>(), entry.at(2).get<uint32_t>() });
-            if (!task)
+        auto part = parts.begin();
+        for (const auto& partRow : rows) {
+            if (!decodeTasks(partRow.at(7), part->first, parts.size() > 1))
                 return false;
-            task->runNumber = entry.at(4).get<uint32_t>();
-            if (entry.size() > 8)
-                task->failedRuns = entry.at(8).get<std::vector<uint32_t>>();
-            else
-                task->failedRuns.assign(std::min(entry.at(5).get<size_t>(), maximumAttemptsKept), 0);
-            task->worker = entry.at(6).get<std::string>();
-            task->checkpoint = entry.at(7).get<std::string>();
-            if (entry.at(3).get<bool>()) {
-                task->state = TaskState::Completed;
-                auto& occurrence = openOccurrences_.at(entry.at(0).get<uint32_t>());
-                if (--occurrence.steps[entry.at(1).get<size_t>()].remainingTasks == 0)
-                    --occurrence.remainingSteps;
-            } else if (!task->worker.empty())
-                task->state = TaskState::Placed; // the worker's report will show whether the run started
+            ++part;
         }
+        forEachTask([this](const TaskId& id, JobTask& task) {
+            auto& occurrence = openOccurrences_.at(id.occurrence);
+            if (task.state == TaskState::Completed && --occurrence.steps[id.step].remainingTasks == 0)
+                --occurrence.remainingSteps;
+        });
+        storedParts.assign(size_t { parts.rbegin()->first } + 1, 0);
         dirty = false;
         return true;
     } catch (const std::exception&) {
@@ -314,4 +312,31 @@
     }
 }
 
+// A row replaces that of an earlier part, which the task has left. Beside parts of a later version, a part may have
+// rows of occurrences that are closed since then.
+bool Job::decodeTasks(const json& rows, uint32_t part, bool ignoreClosed)
+{
+    for (const auto& entry : rows) {
+        if (ignoreClosed && openOccurrences_.count(entry.at(0).get<uint32_t>()) == 0)
+            continue;
+        auto* task
+            = findTask({ id_, entry.at(0).get<uint32_t>(), entry.at(1).get<uint32_t>(), entry.at(2).get<uint32_t>() });
+        if (!task)
+            return false;
+        task->statePart = part;
+        task->runNumber = entry.at(4).get<uint32_t>();
+        if (entry.size() > 8)
+            task->failedRuns = entry.at(8).get<std::vector<uint32_t>>();
+        else
+            task->failedRuns.assign(std::min(entry.at(5).get<size_t>(), maximumAttemptsKept), 0);
+        task->worker = entry.at(6).get<std::string>();
+        task->checkpoint = entry.at(7).get<std::string>();
+        if (entry.at(3).get<bool>())
+            task->state = TaskState::Completed;
+        else // the worker's report will show whether the run started
+            task->state = task->worker.empty() ? TaskState::Waiting : TaskState::Placed;
+    }
+    return true;
+}
+
 } // namespace shallotdrift
--- a/shallotdrift/src/Jobs/Job.h
+++ b/shallotdrift/src/Jobs/Job.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <string_view>
 
 namespace shallotdrift {
@@ -27,6 +28,7 @@
     std::string worker; // id of the worker of the newest run while Placed or Running
     std::string checkpoint;
     Instant notBefore {}; // earliest next start, set by the backoff after a failure
+    uint32_t statePart = 0; // part of the stored state that has the row of the task
 };
 
 struct Step {
@@ -97,19 +99,26 @@
 
     // Stored forms. The specification never changes; the state is stored again after each change.
     std::string encodeSpec() const;
-    std::string encodeState() const;
+    // The state in parts of at most maximumBytes, each for its own tasks. Most jobs have one part. Parts of different
+    // versions can be read together: each task then has the state of the latest version that was stored of it.
+    std::vector<std::string> encodeState(size_t maximumBytes);
     // nullopt if the bytes are not a specification in a known format.
     static std::optional<Job> decodeSpec(std::string id, std::string_view bytes);
+    using StateParts = std::map<uint32_t, std::string>; // by number
     // False if the bytes are not a state of this job in a known format.
-    bool decodeState(std::string_view bytes);
+    bool decodeState(const StateParts&);
+    bool decodeState(std::string bytes) { return decodeState(StateParts { { 0, std::move(bytes) } }); }
 
     bool dirty = false; // the state has changed since it was last encoded
     bool specStored = false; // the specification is in the store
+    // Hash of each part of the state when it was last given to the store; 0: from an earlier owner.
+    std::vector<uint64_t> storedParts;
 
 private:
     template <typename Quantity> double sumOverRemainingTime(Quantity&&) const;
     Occurrence makeOccurrence(uint32_t number) const;
     void closeOccurrence(uint32_t number);
+    bool decodeTasks(const nlohmann::json& rows, uint32_t part, bool ignoreClosed);
 
     std::string id_;
     std::string queue_;
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -5,14 +5,9 @@
 
 namespace shallotdrift {
 
-// The key of a job's state is the job's id with this suffix; the key of its specification is the id alone.
-static constexpr char stateSuffix = '~';
-
 // Prefix of the record of unresponsive workers. Job ids consist of hexadecimal digits, so keys cannot collide.
 static constexpr char unresponsivePrefix[] = "unresponsive/";
 
-static std::string stateKey(const std::string& id) { return id + stateSuffix; }
-
 ServiceScheduler::ServiceScheduler(std::string service, const ServiceSchedulerOptions& options, Instant now)
     : service_(std::move(service))
     , options_(options)
@@ -543,15 +538,8 @@
     for (auto& [id, job] : jobs_) {
         if (!job.dirty && (job.active() || job.hasRuns()))
             continue;
-        job.dirty = false;
-        bool ended = !job.active() && !job.hasRuns();
-        if (!job.specStored && !ended)
-            records.push_back({ id, job.encodeSpec() });
-        if (ended && job.specStored)
-            records.push_back({ id, {} });
-        job.specStored = true;
-        records.push_back({ stateKey(id), job.encodeState() });
-        if (ended)
+        addChangedRecords(job, options_.maximumRecordBytes, records);
+        if (!job.active() && !job.hasRuns())
             endedJobs.push_back(id);
     }
     for (const auto& id : endedJobs) {
@@ -569,11 +557,17 @@
     return records;
 }
 
-bool ServiceScheduler::isStateKey(const std::string& key) { return !key.empty() && key.back() == stateSuffix; }
-
-std::string ServiceScheduler::jobIdOfKey(const std::string& key)
+void ServiceScheduler::failUnstorable(const std::string& id, const Now& now)
 {
-    return isStateKey(key) ? key.substr(0, key.size() - 1) : key;
+    auto* job = find(id);
+    if (!job)
+        return;
+    std::fill(job->storedParts.begin(), job->storedParts.end(), 0);
+    job->dirty = true;
+    if (!job->active())
+        return;
+    job->setStatus(JobStatus::Failed, now.wall);
+    stopRuns(*job);
 }
 
 void ServiceScheduler::restore(Job&& job)
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Job.h"
+#include "JobRecords.h"
 #include "PlacementHolds.h"
 #include "TaskOrder.h"
 #include "WorkerLease.h"
@@ -34,6 +34,7 @@
     Milliseconds overdueCompletionTime { 8000 }; // target time to complete jobs that miss their soft deadline
     // A draining worker serves for at least this time, counted from the moment when its entry says so.
     Milliseconds drainTime { 2000 };
+    size_t maximumRecordBytes = 262144; // of a stored record, with its key
 };
 
 struct StartOrder {
@@ -59,12 +60,6 @@
     uint32_t speedPercent = 100; // 100: not throttled
 };
 
-// A change of the stored state; an empty value removes the key.
-struct StateRecord {
-    std::string key {};
-    std::string value {};
-};
-
 // The owner's state of one worker.
 struct Worker {
     // A run that is assigned to the worker or that the worker reports.
@@ -192,10 +187,9 @@
     std::vector<StateRecord> takeChangedRecords(const Now&);
     // To be called when the records of the last takeChangedRecords() are stored.
     void onRecordsStored();
-    // Each job has two records, one with its specification, which never changes, and one with its state. jobIdOfKey()
-    // accepts the keys of both.
-    static std::string jobIdOfKey(const std::string& key);
-    static bool isStateKey(const std::string& key);
+    // To be called when the store will never take the records of the job. The job fails, so that its state becomes
+    // small.
+    void failUnstorable(const std::string& id, const Now&);
     // Key of the record that lists unresponsive workers and for how long their leases are valid from then on, so that a
     // new owner need not wait for a whole lease again.
     std::string unresponsiveKey() const;
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -329,14 +329,19 @@
     }
     auto replies = std::make_shared<std::vector<std::function<void()>>>(std::move(repliesAfterStore_));
     repliesAfterStore_.clear();
-    auto proceed = [this, orders, replies] {
+    auto proceed = [this, orders, replies](const PartitionWriter::RefusedKeys& refused) {
+        if (!refused.empty()) { // what is not stored is neither confirmed nor ordered; operators' calls time out
+            for (const auto& order : orders)
+                planner_.onOrderResult(order, InstancePlanner::Outcome::Busy, BootClock::now());
+            return;
+        }
         for (const auto& reply : *replies)
             reply();
         for (const auto& order : orders)
             sendOrder(order);
     };
     if (records.empty())
-        proceed(); // a change repeated by an operator has no records, since it is stored already
+        proceed({}); // a change repeated by an operator has no records, since it is stored already
     else
         writer_.append(records, proceed);
 }
--- a/shallotdrift/src/Node/OperatorCallRouter.cpp
+++ b/shallotdrift/src/Node/OperatorCallRouter.cpp
@@ -140,16 +140,20 @@
 {
     std::optional<Job> job;
     std::vector<std::string> facts;
+    Job::StateParts state;
     for (const auto& record : records) {
-        if (ServiceScheduler::jobIdOfKey(record.key) != id || record.value.empty())
+        auto key = parseJobKey(record.key);
+        if (record.value.empty())
             continue;
-        if (!ServiceScheduler::isStateKey(record.key)) {
+        if (key.statePart)
+            state[*key.statePart] = record.value;
+        else
             job = Job::decodeSpec(id, record.value);
-            continue;
-        }
+    }
+    if (!state.empty()) {
         if (!job)
             job.emplace(id, std::string(), std::string(), JobSpec {}, WallTime {}, 0);
-        if (!job->decodeState(record.value))
+        if (!job->decodeState(state))
             facts.emplace_back("the record of the job's state is unreadable");
     }
     if (job)
@@ -165,18 +169,33 @@
     // The store lists the keys in order, starting after the given key, which therefore has to precede the job's keys.
     auto before = job;
     --before.back();
-    context_.store.send(platform::latestRecordsRequest({ Membership::stateTopic(), partition }, before), attemptTimeout,
-        [this, call, job, service, partition](std::optional<HttpMessage> message) {
+    readJobRecords(call, service, partition, job, before, {});
+}
+
+// Reads page by page, since the parts of a large job's state may exceed a page.
+void OperatorCallRouter::readJobRecords(const CallPointer& call, const std::string& service, uint32_t partition,
+    const std::string& job, const std::string& after, std::vector<platform::KeyedRecord> records)
+{
+    context_.store.send(platform::latestRecordsRequest({ Membership::stateTopic(), partition }, after), attemptTimeout,
+        [this, call, service, partition, job, after, records = std::move(records)](
+            std::optional<HttpMessage> message) mutable {
             auto response
                 = message ? platform::parseLatestRecordsResponse(*message) : platform::LatestRecordsResponse {};
             if (response.status != platform::StoreStatus::Ok) {
                 call->reply(failedExplanation(ResultCode::PlatformUnavailable, "the store did not respond"));
                 return;
             }
+            for (auto& record : response.records)
+                if (parseJobKey(record.key).job == job)
+                    records.push_back(std::move(record));
+            if (response.hasMore && response.lastKey > after && response.lastKey.compare(0, job.size(), job) <= 0) {
+                readJobRecords(call, service, partition, job, response.lastKey, std::move(records));
+                return;
+            }
             proto::ExplainReply reply;
             reply.add_facts(fmt::format(
                 "service {}, partition {}, owner {}", service, partition, membership_.ownerAddress(partition)));
-            for (auto& fact : factsOfRecords(job, response.records))
+            for (auto& fact : factsOfRecords(job, records))
                 reply.add_facts(std::move(fact));
             if (reply.facts_size() == 1) {
                 reply.set_result_code(static_cast<uint32_t>(ResultCode::NotFound));
--- a/shallotdrift/src/Node/OperatorCallRouter.h
+++ b/shallotdrift/src/Node/OperatorCallRouter.h
@@ -40,6 +40,8 @@
     void onReply(const CallPointer&, std::optional<std::string>);
     bool tryExplainJob(const CallPointer&);
     void explainJob(const CallPointer&, const std::string& queue, const std::string& job);
+    void readJobRecords(const CallPointer&, const std::string& service, uint32_t partition, const std::string& job,
+        const std::string& after, std::vector<platform::KeyedRecord>);
 
     NodeContext& context_;
     Membership& membership_;
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -79,8 +79,9 @@
 
 void OwnedPartition::addLoadedRecord(platform::KeyedRecord&& record)
 {
-    auto& entry = loadedRecords_[ServiceScheduler::jobIdOfKey(record.key)];
-    (ServiceScheduler::isStateKey(record.key) ? entry.second : entry.first) = std::move(record.value);
+    auto key = parseJobKey(record.key);
+    auto& entry = loadedRecords_[key.job];
+    (key.statePart ? entry.second[*key.statePart] : entry.first) = std::move(record.value);
 }
 
 void OwnedPartition::finishLoad()
@@ -130,6 +131,7 @@
         options.drainTime = context_.settings.drainTime;
         options.takeoverSettleTime = context_.settings.maximumStopTime + orderRoundTrip;
         options.overdueCompletionTime = context_.settings.overdueCompletionTime;
+        options.maximumRecordBytes = context_.settings.recordBytes;
         options.lease.duration = std::min(options.lease.duration, options.lease.maximumDuration * 2 / 3);
         entry = std::make_unique<Service>(context_, name, options, fencingToken_,
             WorkerSessions::Callbacks { [this] { runSchedulingCycle(); }, [this] { reportFenced("worker"); },
@@ -277,6 +279,12 @@
             }
             Job job(submission.job, submission.queue, queue->second.service, std::move(submission.spec), wallNow(),
                 queue->second.maximumAttempts);
+            if (!specFitsRecord(job, context_.settings.recordBytes)) {
+                logger("owner")->info(
+                    "request={} event=malformed queue={} reason=specification_too_large", job.id(), job.queue());
+                submission.respond(errorResponse(400, "the specification does not fit a record of the store"));
+                continue;
+            }
             logger("owner")->info("request={} event=accepted queue={} steps={} critical_path_ms={} work_core_ms={:.0f}",
                 job.id(), job.queue(), job.spec().steps.size(), job.criticalPath().count(), job.remainingWork());
             ++context_.counters.jobsAccepted;
@@ -358,12 +366,21 @@
         appliedEnds.emplace_back(entry.get(), entry->sessions.appliedEnds());
     }
     auto stored = [this, starts = std::move(starts), appliedEnds = std::move(appliedEnds),
-                      callbacks = std::move(callbacksWhenStored_)] {
+                      callbacks = std::move(callbacksWhenStored_)](const PartitionWriter::RefusedKeys& refused) {
+        for (const auto& key : refused)
+            failUnstorable(parseJobKey(key).job);
         for (const auto& [entry, orders] : starts) {
-            entry->scheduler.onRecordsStored();
+            if (refused.empty())
+                entry->scheduler.onRecordsStored();
             for (const auto& order : orders)
                 entry->sessions.send(order);
         }
+        if (!refused.empty()) {
+            // A next owner reads an earlier state of the refused jobs. What waits for the records is put off until the
+            // state is stored without them.
+            callbacksWhenStored_.insert(callbacksWhenStored_.begin(), callbacks.begin(), callbacks.end());
+            return;
+        }
         for (const auto& [entry, numbers] : appliedEnds)
             entry->sessions.acknowledgeStoredEnds(numbers);
         for (const auto& callback : callbacks)
@@ -376,12 +393,22 @@
         for (const auto& order : entry->scheduler.stopsDue(now))
             entry->sessions.send(order);
     if (records.empty())
-        stored();
+        stored({});
     else
         writer_.append(records, std::move(stored));
     inCycle_ = false;
 }
 
+// The store will never take a record of the job. The job fails: its runs are stopped, which leaves a small state, and
+// its starts are not sent. The other jobs go on.
+void OwnedPartition::failUnstorable(const std::string& job)
+{
+    if (hasJob(job))
+        logger("owner")->error("request={} event=failed reason=record_refused", job);
+    for (auto& [name, entry] : services_)
+        entry->scheduler.failUnstorable(job, currentTime());
+}
+
 // While tasks wait, logs which cores are not available to them and why.
 void OwnedPartition::logShortage(const Now& now)
 {
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -69,6 +69,7 @@
     HttpResponse unknownJobResponse() const;
     void admitSubmissions();
     void callWhenStored(std::function<void()>);
+    void failUnstorable(const std::string& job);
     bool mayExtendLeases() const;
     bool storeStalled(Instant now) const;
     void refuseSubmissions();
@@ -91,7 +92,7 @@
     bool active_ = false;
     bool cycleRequested_ = false;
     bool inCycle_ = false;
-    std::map<std::string, std::pair<std::string, std::string>> loadedRecords_; // job id -> specification, state
+    std::map<std::string, std::pair<std::string, Job::StateParts>> loadedRecords_; // job id -> specification, state
     std::map<std::string, std::unique_ptr<Service>> services_;
     std::deque<Submission> submissions_;
     std::vector<std::function<void()>> callbacksWhenStored_; // of changes that no append contains yet
--- a/shallotdrift/src/Node/PartitionWriter.cpp
+++ b/shallotdrift/src/Node/PartitionWriter.cpp
@@ -19,22 +19,40 @@
 {
 }
 
-void PartitionWriter::fence(std::function<void()> done) { beginAppend({}, std::move(done)); }
+void PartitionWriter::fence(std::function<void()> done)
+{
+    beginAppend({}, [done = std::move(done)](const RefusedKeys&) { done(); });
+}
 
-void PartitionWriter::append(const std::vector<StateRecord>& records, std::function<void()> done)
+void PartitionWriter::append(const std::vector<StateRecord>& records, DoneHandler done)
 {
-    std::string bytes;
+    std::vector<EncodedRecord> encoded;
+    encoded.reserve(records.size());
     for (const auto& record : records)
-        bytes += platform::encodeKeyedRecord(record.key, record.value);
-    beginAppend(std::move(bytes), std::move(done));
+        encoded.push_back({ record.key, platform::encodeKeyedRecord(record.key, record.value) });
+    beginAppend(std::move(encoded), std::move(done));
 }
 
-void PartitionWriter::beginAppend(std::string bytes, std::function<void()> done)
+void PartitionWriter::beginAppend(std::vector<EncodedRecord> records, DoneHandler done)
 {
-    bytes_ = std::move(bytes);
-    onStored_ = std::move(done);
-    appendStartedAt_ = BootClock::now();
+    records_ = std::move(records);
+    onDone_ = std::move(done);
+    next_ = 0;
+    refused_.clear();
     busy_ = true;
+    beginRequest(records_.size());
+}
+
+void PartitionWriter::beginRequest(size_t count)
+{
+    bytes_.clear();
+    for (end_ = next_; end_ < next_ + count; ++end_) {
+        const auto& bytes = records_[end_].bytes;
+        if (end_ > next_ && bytes_.size() + bytes.size() > context_.settings.requestBytes)
+            break;
+        bytes_ += bytes;
+    }
+    appendStartedAt_ = BootClock::now();
     send();
 }
 
@@ -66,14 +84,11 @@
 void PartitionWriter::onResponse(const platform::AppendResponse& response)
 {
     switch (response.status) {
-    case platform::StoreStatus::Ok: {
-        busy_ = false;
+    case platform::StoreStatus::Ok:
         ++producer_.sequence;
-        bytes_.clear();
-        auto done = std::move(onStored_);
-        done();
+        next_ = end_;
+        onRequestDone();
         return;
-    }
     case platform::StoreStatus::SequenceMismatch:
         // Only this writer uses the epoch, so the expected number is the right one.
         logger("store")->warn("event=sequence_mismatch partition={} sent={} expected={}", partition_.number,
@@ -84,9 +99,46 @@
     case platform::StoreStatus::Fenced:
         onFenced_();
         return;
+    case platform::StoreStatus::RefusedForGood:
+        if (next_ < end_) {
+            onRefusedForGood();
+            return;
+        }
+        [[fallthrough]];
     default:
         retry(retryDelay);
     }
 }
 
+void PartitionWriter::onRequestDone()
+{
+    if (next_ < records_.size()) {
+        beginRequest(records_.size() - next_);
+        return;
+    }
+    busy_ = false;
+    bytes_.clear();
+    records_.clear();
+    auto done = std::move(onDone_);
+    auto refused = std::move(refused_);
+    done(refused);
+}
+
+void PartitionWriter::onRefusedForGood()
+{
+    auto count = end_ - next_;
+    logger("store")->error("event=append_refused partition={} records={} bytes={} first_key={} first_bytes={}",
+        partition_.number, count, bytes_.size(), records_[next_].key, records_[next_].bytes.size());
+    if (count > 1) {
+        beginRequest(count / 2);
+        return;
+    }
+    // The later records of a job rely on the earlier ones; see addChangedRecords().
+    auto job = parseJobKey(records_[next_].key).job;
+    do
+        refused_.push_back(records_[next_++].key);
+    while (next_ < records_.size() && parseJobKey(records_[next_].key).job == job);
+    onRequestDone();
+}
+
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Settings/NodeSettings.h
+++ b/shallotdrift/src/Settings/NodeSettings.h
@@ -24,6 +24,8 @@
     std::string storeAddress;
     uint32_t storePartitions = 24;
     Milliseconds membershipTimeout { 2000 }; // without a renewal for this time, an instance loses its partitions
+    uint32_t recordBytes = 262144; // maximum size of a record, with its key
+    uint32_t requestBytes = 2097152; // maximum size of the records of one append
 
     // [machine]: resources of the instance; 0 when unknown
     double cpuShare = 0; // in cores
--- a/standin/StoreStandIn.cpp
+++ b/standin/StoreStandIn.cpp
@@ -144,8 +144,25 @@
     return {};
 }
 
+bool StoreStandIn::withinLimits(std::string_view body) const
+{
+    if (body.size() > limits_.requestBytes)
+        return false;
+    while (body.size() >= 4) {
+        size_t length = 0;
+        for (int i = 0; i < 4; ++i)
+            length = length << 8 | static_cast<unsigned char>(body[i]);
+        if (length > limits_.recordBytes)
+            return false;
+        body.remove_prefix(std::min(body.size(), 4 + length));
+    }
+    return true;
+}
+
 HttpResponse StoreStandIn::handleAppend(const Query& query, const std::string& body)
 {
+    if (!withinLimits(body))
+        return jsonResponse(400, json::object());
     auto& partition = partitionLog(query);
     auto expected = query.find(names::expectedEnd);
     if (expected != query.end() && numberParameter(query, names::expectedEnd) != partition.endOffset())
--- a/standin/StoreStandIn.h
+++ b/standin/StoreStandIn.h
@@ -17,6 +17,12 @@
     uint32_t dropResponseEvery = 0; // every Nth append takes effect but gets no response; 0: each gets one
 };
 
+// Larger appends are rejected with 400.
+struct StoreLimits {
+    size_t recordBytes = 262144; // content of a record, without its length
+    size_t requestBytes = 2097152;
+};
+
 // In-memory stand-in for the platform's store: partitioned topics, keyed topics, producers and consumer groups.
 class StoreStandIn {
 public:
@@ -30,6 +36,7 @@
     // Appends a keyed record, as the platform itself does with registry entries and the operator's records.
     void put(const std::string& topic, const std::string& key, const std::string& value);
     StoreFaults& faults() { return faults_; }
+    StoreLimits& limits() { return limits_; }
 
 private:
     using Query = std::map<std::string, std::string>;
@@ -68,6 +75,7 @@
 
     PartitionLog& partitionLog(const Query&);
     std::string append(PartitionLog&, const std::string& topic, const std::string& body);
+    bool withinLimits(std::string_view body) const;
     HttpResponse handleAppend(const Query&, const std::string& body);
     HttpResponse checkProducer(PartitionLog&, const Query&, bool& repeated);
     bool tryRead(const PendingRead&, bool deadlineReached);
@@ -82,6 +90,7 @@
     std::map<std::string, Group> groups_;
     std::vector<PendingRead> pendingReads_;
     StoreFaults faults_;
+    StoreLimits limits_;
     uint64_t appends_ = 0;
 };
 
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -29,7 +29,7 @@
 
         void reset()
         {
-            scheduler = std::make_unique<ServiceScheduler>(serviceName, ServiceSchedulerOptions {}, now.steady);
+            scheduler = std::make_unique<ServiceScheduler>(serviceName, options, now.steady);
             QueueConfiguration queue;
             queue.name = queueName;
             queue.service = serviceName;
@@ -104,7 +104,8 @@
         std::vector<StartOrder> send()
         {
             auto orders = scheduler->plan(now);
-            for (const auto& record : scheduler->takeChangedRecords(now))
+            lastRecords = scheduler->takeChangedRecords(now);
+            for (const auto& record : lastRecords)
                 store[record.key] = record.value;
             scheduler->onRecordsStored();
             for (const auto& order : orders)
@@ -136,23 +137,26 @@
         void failOver()
         {
             reset();
+            std::map<std::string, std::pair<std::string, Job::StateParts>> jobs; // id -> specification, state
             for (const auto& [key, value] : store) {
-                if (value.empty() || ServiceScheduler::isStateKey(key) || key == scheduler->unresponsiveKey())
+                if (value.empty() || key == scheduler->unresponsiveKey())
                     continue;
-                auto job = Job::decodeSpec(key, value);
-                CPPUNIT_ASSERT(job);
-                for (const auto& [stateKey, state] : store)
-                    if (ServiceScheduler::isStateKey(stateKey) && ServiceScheduler::jobIdOfKey(stateKey) == key)
-                        CPPUNIT_ASSERT(job->decodeState(state));
-                scheduler->restore(std::move(*job));
+                auto jobKey = parseJobKey(key);
+                auto& records = jobs[jobKey.job];
+                (jobKey.statePart ? records.second[*jobKey.statePart] : records.first) = value;
             }
-            for (const auto& [key, value] : store) {
-                auto id = ServiceScheduler::jobIdOfKey(key);
-                if (value.empty() || !ServiceScheduler::isStateKey(key) || scheduler->find(id))
+            for (const auto& [id, records] : jobs) {
+                if (records.first.empty()) {
+                    Job ended(id, {}, {}, {}, now.wall, 1);
+                    CPPUNIT_ASSERT(ended.decodeState(records.second));
+                    scheduler->restoreEnded(id, ended.status(), ended.started(), ended.endedAt());
                     continue;
-                Job ended(id, {}, {}, {}, now.wall, 1);
-                CPPUNIT_ASSERT(ended.decodeState(value));
-                scheduler->restoreEnded(id, ended.status(), ended.started(), ended.endedAt());
+                }
+                auto job = Job::decodeSpec(id, records.first);
+                CPPUNIT_ASSERT(job);
+                if (!records.second.empty())
+                    CPPUNIT_ASSERT(job->decodeState(records.second));
+                scheduler->restore(std::move(*job));
             }
             scheduler->finishRestore(now);
             if (auto unresponsive = store.find(scheduler->unresponsiveKey()); unresponsive != store.end())
@@ -160,8 +164,10 @@
         }
 
         Now now { Instant { Milliseconds { 1000000 } }, wallTimeFromUnix(Milliseconds { 1796384956000 }) };
+        ServiceSchedulerOptions options;
         std::unique_ptr<ServiceScheduler> scheduler;
         std::map<std::string, std::string> store;
+        std::vector<StateRecord> lastRecords; // of the last send()
         std::map<std::string, uint64_t> ends;
         std::map<std::string, int64_t> bootTimes; // 0: not in the reports
     };
@@ -194,6 +200,8 @@
     CPPUNIT_TEST(unexpectedRunsAreStopped);
     CPPUNIT_TEST(truncatedListsOfEndsEndNoOtherRuns);
     CPPUNIT_TEST(evictionsRespectMaximumUnavailable);
+    CPPUNIT_TEST(statesOfLargeJobsAreSplit);
+    CPPUNIT_TEST(jobsWhoseRecordsAreRefusedFail);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -814,6 +822,83 @@
     }
 
     // Guards against starting a task whose job was cancelled while the record of the start was being stored.
+    // Guards against a job whose state exceeds a record of the store, so that its service could store nothing more.
+    void statesOfLargeJobsAreSplit()
+    {
+        static constexpr size_t maximumRecordBytes = 2000;
+        static constexpr uint32_t taskCount = 600;
+        SchedulerHarness fleet;
+        fleet.options.maximumRecordBytes = maximumRecordBytes;
+        fleet.reset();
+        fleet.addWorker("w1");
+        auto step = makeStep(taskCount, 10);
+        step.taskResources.memoryMegabytes = 1;
+        fleet.add("a", { step });
+        auto orders = fleet.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { taskCount }, orders.size());
+        auto recordsFit = [&] {
+            return std::all_of(fleet.lastRecords.begin(), fleet.lastRecords.end(), [](const StateRecord& record) {
+                return 1 + record.key.size() + record.value.size() <= maximumRecordBytes;
+            });
+        };
+        CPPUNIT_ASSERT(recordsFit());
+        CPPUNIT_ASSERT(fleet.lastRecords.size() > 4);
+        {
+            Section section("only the part that has changed is stored again");
+            fleet.end(orders[0], RunOutcome::Completed);
+            fleet.plan();
+            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, fleet.lastRecords.size());
+        }
+        {
+            Section section("a new owner has all runs");
+            fleet.failOver();
+            CPPUNIT_ASSERT_EQUAL(size_t { taskCount - 1 }, fleet.scheduler->workers().at("w1").runs.size());
+            fleet.registerWorker("w1");
+            fleet.report("w1", fleet.runningOn("w1", {}));
+            CPPUNIT_ASSERT(fleet.plan().empty());
+            fleet.end(orders[1], RunOutcome::Completed);
+            CPPUNIT_ASSERT(fleet.plan().empty());
+            CPPUNIT_ASSERT(recordsFit());
+        }
+        Section section("the parts are removed when the job has ended");
+        for (size_t i = 2; i < orders.size(); ++i)
+            fleet.end(orders[i], RunOutcome::Completed);
+        fleet.plan();
+        CPPUNIT_ASSERT(fleet.scheduler->statusOf("a") == JobStatus::Completed);
+        for (const auto& [key, value] : fleet.store)
+            CPPUNIT_ASSERT_EQUAL(key == stateKey("a"), !value.empty());
+    }
+
+    // Guards against a job that holds up its whole service, since its state can never be stored.
+    void jobsWhoseRecordsAreRefusedFail()
+    {
+        SchedulerHarness fleet;
+        fleet.addWorker("w1");
+        fleet.add("a", { makeStep(2, 1000) });
+        auto started = fleet.plan();
+        fleet.add("b", { makeStep(1, 1000) });
+        auto orders = fleet.scheduler->plan(fleet.now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, orders.size());
+        fleet.scheduler->takeChangedRecords(fleet.now);
+        fleet.scheduler->failUnstorable("a", fleet.now);
+        fleet.scheduler->failUnstorable("b", fleet.now);
+        {
+            Section section("a start that waits for the records is not sent");
+            CPPUNIT_ASSERT(!fleet.scheduler->beginStart(orders[0], fleet.now));
+            fleet.send();
+            CPPUNIT_ASSERT(fleet.scheduler->statusOf("b") == JobStatus::Failed);
+            CPPUNIT_ASSERT(!fleet.scheduler->find("b"));
+        }
+        Section section("active runs are stopped, after which the small state of an ended job is stored");
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, fleet.scheduler->stopsDue(fleet.now).size());
+        for (const auto& order : started)
+            fleet.end(order, RunOutcome::Stopped);
+        fleet.send();
+        CPPUNIT_ASSERT(!fleet.scheduler->find("a"));
+        fleet.failOver();
+        CPPUNIT_ASSERT(fleet.scheduler->statusOf("a") == JobStatus::Failed);
+    }
+
     void cancelledJobsAreNotStarted()
     {
         SchedulerHarness harness;
