--- a/shallotdrift/src/Jobs/RunLedger.cpp
+++ b/shallotdrift/src/Jobs/RunLedger.cpp
@@ -9,13 +9,14 @@
 static constexpr char unresponsivePrefix[] = "unresponsive/";
 static constexpr char startsPrefix[] = "starts/";
 // Fields of the starts record.
-static constexpr char nextStartField[] = "next";
+static constexpr char doubtfulFromField[] = "from";
 static constexpr char doubtfulField[] = "doubtful";
 static constexpr char longLeaseField[] = "long_lease_ms";
 
 static constexpr Milliseconds recordInterval { 500 };
 // Added to a long lease in the record, so that workers that report one after another do not each need a new record.
 static constexpr Milliseconds longLeaseSlack { 500 };
+static constexpr ptrdiff_t maximumListedStarts = 200; // bounds the size of the record
 static constexpr Milliseconds maximumRemaining { 3600000 }; // excludes an overflow
 
 static Instant fromRemaining(int64_t milliseconds, Instant now)
@@ -50,7 +51,7 @@
     auto record = nlohmann::json::parse(starts, nullptr, false);
     if (!record.is_object())
         return;
-    if (auto next = record.find(nextStartField); next != record.end() && next->is_number_unsigned())
+    if (auto next = record.find(doubtfulFromField); next != record.end() && next->is_number_unsigned())
         doubtfulFrom_ = next->get<uint64_t>();
     if (auto doubtful = record.find(doubtfulField); doubtful != record.end() && doubtful->is_array())
         for (const auto& number : *doubtful)
@@ -176,8 +177,14 @@
             if (run.startNumber != 0 && (!run.startSent || run.doubtful()))
                 doubtfulStarts_.insert(run.startNumber);
     doubtfulFrom_ = nextStart_;
+    if (doubtfulStarts_.size()
+        > static_cast<size_t>(maximumListedStarts)) { // the later ones count as doubtful without being listed
+        auto firstUnlisted = std::next(doubtfulStarts_.begin(), maximumListedStarts);
+        doubtfulFrom_ = *firstUnlisted;
+        doubtfulStarts_.erase(firstUnlisted, doubtfulStarts_.end());
+    }
     recordedAt_ = now;
-    nlohmann::json record { { nextStartField, doubtfulFrom_ }, { doubtfulField, doubtfulStarts_ } };
+    nlohmann::json record { { doubtfulFromField, doubtfulFrom_ }, { doubtfulField, doubtfulStarts_ } };
     longExpiry_ = longLeaseExpiry(workers, now);
     if (longExpiry_ != Instant {}) {
         longExpiry_ += longLeaseSlack;
--- a/shallotdrift/src/Jobs/RunLedger.h
+++ b/shallotdrift/src/Jobs/RunLedger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "JobRecords.h"
 #include "Worker.h"
 
 #include <map>
@@ -10,12 +11,6 @@
 
 namespace shallotdrift {
 
-// A change of the stored state; an empty value removes the key.
-struct StateRecord {
-    std::string key {};
-    std::string value {};
-};
-
 // What the owner of a service knows about the end of runs on silent workers, and what it stores of that so that the
 // next owner never takes a run for ended too early. Two records of the service hold it:
 // - the unresponsive workers, with the remaining time of their leases, which are not extended meanwhile;
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Job.h"
+#include "JobRecords.h"
 #include "PlacementHolds.h"
 #include "RunLedger.h"
 #include "TaskOrder.h"
@@ -34,6 +34,7 @@
     Milliseconds overdueCompletionTime { 8000 }; // target time to complete jobs that miss their soft deadline
     // A draining worker serves for at least this time, counted from the moment when its entry says so.
     Milliseconds drainTime { 2000 };
+    size_t maximumRecordBytes = 262144; // of a stored record, with its key
 };
 
 struct StartOrder {
@@ -139,10 +140,9 @@
     std::vector<StateRecord> takeChangedRecords(const Now&);
     // To be called when the records of the last takeChangedRecords() are stored.
     void onRecordsStored();
-    // Each job has two records, one with its specification, which never changes, and one with its state. jobIdOfKey()
-    // accepts the keys of both.
-    static std::string jobIdOfKey(const std::string& key);
-    static bool isStateKey(const std::string& key);
+    // To be called when the store will never take the records of the job. The job fails, so that its state becomes
+    // small.
+    void failUnstorable(const std::string& id, const Now&);
     // The records of leases and starts; restore() is to be called before the other functions of this class.
     RunLedger& ledger() { return ledger_; }
     const RunLedger& ledger() const { return ledger_; }
--- a/test/RunLedgerTest.cpp
+++ b/test/RunLedgerTest.cpp
@@ -224,10 +224,10 @@
             scheduler.ledger().restore(
                 store_[scheduler.ledger().unresponsiveKey()], store_[scheduler.ledger().startsKey()], now_.steady);
             for (const auto& [key, value] : store_) {
-                if (value.empty() || ServiceScheduler::isStateKey(key) || key.find('/') != std::string::npos)
+                if (value.empty() || parseJobKey(key).statePart || key.find('/') != std::string::npos)
                     continue;
                 auto job = Job::decodeSpec(key, value);
-                CPPUNIT_ASSERT(job && job->decodeState(store_.at(key + "~")));
+                CPPUNIT_ASSERT(job && job->decodeState({ { 0, store_.at(stateKey(key)) } }));
                 scheduler.restore(std::move(*job));
             }
             scheduler.finishRestore(now_);
