Count the ends of runs that were given up, and stop runs that no task names

Cause: the end of a run whose lease had been taken for expired was ignored unless the step allows speculation. A reported run that its task does not name, such as that of a member of a completed gang on a restarted worker, was not stopped, also not when its job was cancelled. Change: each failure counts, and the first run to complete completes its task and stops the newer one. A reported run that its task does not name is stopped. Evidence: the three tests of these cases failed before.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -289,7 +289,8 @@
     if (run.tailLatencyTarget.count() > 0)
         run.tailLatency = Milliseconds { progress.load };
     auto* task = job ? job->findTask(progress.task) : nullptr;
-    if (!task || task->runNumber != progress.runNumber || task->worker != worker.info.id)
+    if (!task || task->runNumber != progress.runNumber || task->worker != worker.info.id) {
+        run.stopRequested = true; // the task has another run or is completed
         return;
     task->state = TaskState::Running;
     task->available = progress.progressPercent >= 100 && !run.stopRequested;
@@ -324,12 +325,12 @@
     if (!task || task->state == TaskState::Completed)
         return;
     if (task->runNumber != runNumber || task->worker != workerId) {
-        // Not the newest run. With speculation, the first run to complete counts, and so does each failure.
-        if (!job->active() || !job->spec().steps[id.step].speculationAllowed)
+        // A run whose lease was taken for expired, or with speculation an earlier one. The first run to complete
+        // counts, and so does each failure.
+        if (!job->active())
             return;
-        if (outcome == RunOutcome::Completed) {
-            if (auto* newer = findRun(task->worker, id, task->runNumber))
-                newer->stopRequested = true;
+        if (outcome == RunOutcome::Completed && !job->spec().steps[id.step].longRunning) {
+            stopNewestRuns(*job, id);
             completeTask(*job, id, now);
         } else if (outcome == RunOutcome::Failed) {
             job->dirty = true;
@@ -364,6 +365,20 @@
         job.markCompleted({ id.job, id.occurrence, id.step, index }, now.wall);
 }
 
+// Stops the newest run of the task, or those of all members of its gang.
+void ServiceScheduler::stopNewestRuns(Job& job, const TaskId& id)
+{
+    const auto& step = job.spec().steps[id.step];
+    for (uint32_t index = 0; index < step.count; ++index) {
+        if (!step.gang && index != id.index)
+            continue;
+        TaskId memberId { id.job, id.occurrence, id.step, index };
+        const auto* member = job.findTask(memberId);
+        if (auto* run = member ? findRun(member->worker, memberId, member->runNumber) : nullptr)
+            run->stopRequested = true;
+    }
+}
+
 // Number of runs of a gang that failed. The members share the run number, so a run that several of them report as
 // failed counts once. Failures without a number are counted as the fewest runs that explain them.
 static uint32_t countFailedRuns(const std::vector<JobTask>& gang)
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -195,6 +195,7 @@
     void endRun(const std::string& worker, const TaskId&, uint32_t runNumber, RunOutcome, const std::string& checkpoint,
         const Now&);
     void applyCordons(Worker&) const;
+    void stopNewestRuns(Job&, const TaskId&);
     void completeTask(Job&, const TaskId&, const Now&);
     void recordFailure(Job&, const TaskId&, JobTask&, uint32_t runNumber, const Now&);
     void stopRuns(Job&);
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -224,7 +224,10 @@
     CPPUNIT_TEST(nextOwnersAllowForTheLeaseOfARestartedWorker);
     CPPUNIT_TEST(runsOfAnUnseenIncarnationOutlastTheLeaseOfTheKnownOne);
     CPPUNIT_TEST(nextOwnersAllowForAnOwnerThatStillExtendsLeases);
+    CPPUNIT_TEST(completedRunsCountAfterTheirTaskWasStartedAgain);
     CPPUNIT_TEST(nextOwnersAllowForALongLeaseAfterTheFirstReport);
+    CPPUNIT_TEST(runsOfCompletedGangsAreStoppedAfterARestart);
+    CPPUNIT_TEST(failuresCountAfterTheLeaseOfTheirWorkerHasExpired);
     CPPUNIT_TEST(cancelledJobsAreNotStarted);
     CPPUNIT_TEST(cordonsExemptTheNewServiceOfAnInstance);
     CPPUNIT_TEST(dueOccurrencesAreOpenedWithinALimit);
@@ -629,6 +632,110 @@
         auto orders = harness.send();
         harness.scheduler->onNoStartResponse(orders[0], harness.now);
         harness.advance(Milliseconds { 500 });
+    // Guards against a run of a cancelled job that no stop ends: its task was completed when the run began.
+    void runsOfCompletedGangsAreStoppedAfterARestart()
+    {
+        SchedulerHarness harness;
+        harness.bootTimes["w1"] = 1;
+        harness.bootTimes["w2"] = 1;
+        harness.addWorker("w1");
+        harness.addWorker("w2");
+        auto gang = makeStep(2, 9000);
+        gang.gang = true;
+        harness.add("a", { gang, makeStep(1, 16000, { 0 }) });
+        auto orders = harness.send();
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, orders.size());
+        auto& scheduler = *harness.scheduler;
+        scheduler.onStartResponse(orders[0], StartRefusal::None, harness.now);
+        scheduler.onNoStartResponse(orders[1], harness.now);
+        harness.advance(Milliseconds { 500 });
+        auto repeated = harness.send();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, repeated.size());
+        scheduler.onStartResponse(repeated[0], StartRefusal::None, harness.now);
+        harness.end(orders[0], RunOutcome::Completed);
+        harness.bootTimes[orders[1].worker] = 2;
+        harness.report(orders[1].worker, { { orders[1].task, orders[1].runNumber, {}, 0, 0 } });
+        CPPUNIT_ASSERT(scheduler.cancel("a", harness.now));
+        auto stops = scheduler.stopsDue(harness.now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        CPPUNIT_ASSERT_EQUAL(orders[1].worker, stops[0].worker);
+    }
+
+    // Guards against a start after the last permitted failure, which a worker reports after its lease has expired.
+    void failuresCountAfterTheLeaseOfTheirWorkerHasExpired()
+    {
+        SchedulerHarness harness;
+        auto order = harness.startSingleTask(false);
+        auto& scheduler = *harness.scheduler;
+        scheduler.markUnresponsive("w1");
+        harness.advance(Milliseconds { 20000 });
+        scheduler.expireLeases(harness.now);
+        CPPUNIT_ASSERT(scheduler.find("a")->findTask(order.task)->worker.empty());
+        harness.report("w1", {}, { { 1, order.task, order.runNumber, RunOutcome::Failed, {} } });
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, scheduler.find("a")->findTask(order.task)->failedRuns.size());
+    }
+
+    // Guards against an owner that is fenced by itself, or that takes a long lease for expired: it forgot a worker that
+    // was missing in the registry for some seconds.
+    void removedWorkersAreStillKnownToTheirOwner()
+    {
+        SchedulerHarness harness;
+        harness.bootTimes["w1"] = 1;
+        harness.addWorker("w1");
+        harness.bootTimes["w1"] = 2;
+        harness.report("w1");
+        auto& scheduler = *harness.scheduler;
+        auto stage = scheduler.workers().at("w1").lease.stage();
+        CPPUNIT_ASSERT_EQUAL(1U, stage);
+        scheduler.workers().at("w1").lease.extend(harness.now.steady);
+        auto longest = harness.now.steady + longestLease;
+        scheduler.unregisterWorker("w1");
+        while (scheduler.workers().count("w1") != 0) {
+            harness.advance(Milliseconds { 100 });
+            scheduler.expireLeases(harness.now);
+        }
+        CPPUNIT_ASSERT(harness.now.steady >= longest);
+        harness.registerWorker("w1");
+        CPPUNIT_ASSERT_EQUAL(stage, scheduler.workers().at("w1").lease.stage());
+    }
+
+    // Guards against a lasting task that is started again too late: its first start order got no response, so it
+    // counted as possibly started by an unknown incarnation for good.
+    void doubtEndsWhenTheStartCannotArriveAnyMore()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        harness.add("a", { makeStep(1, 1000) });
+        auto order = harness.send().at(0);
+        harness.scheduler->onNoStartResponse(order, harness.now);
+        std::vector<RunProgress> running { { order.task, order.runNumber, {}, 10, 0 } };
+        const auto& run = harness.scheduler->workers().at("w1").runs.at(order.task);
+        harness.report("w1", running);
+        CPPUNIT_ASSERT(run.doubtful());
+        harness.advance(LeaseOptions {}.lateCallLimit);
+        harness.report("w1", running);
+        CPPUNIT_ASSERT(!run.doubtful());
+    }
+
+    // Guards against a start after a run has completed: the run's lease was taken for expired, so its end was ignored.
+    void completedRunsCountAfterTheirTaskWasStartedAgain()
+    {
+        SchedulerHarness harness;
+        auto first = harness.startSingleTask(false);
+        harness.addWorker("w2");
+        harness.scheduler->markUnresponsive("w1");
+        harness.advance(Milliseconds { 20000 });
+        harness.report("w2");
+        harness.scheduler->expireLeases(harness.now);
+        auto second = harness.plan();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, second.size());
+        harness.report("w1", {}, { { 1, first.task, first.runNumber, RunOutcome::Completed, {} } });
+        CPPUNIT_ASSERT(harness.scheduler->statusOf("a") == JobStatus::Completed);
+        auto stops = harness.scheduler->stopsDue(harness.now);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, stops.size());
+        CPPUNIT_ASSERT_EQUAL(second[0].worker, stops[0].worker);
+    }
+
         auto repeated = harness.scheduler->plan(harness.now);
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, repeated.size());
         CPPUNIT_ASSERT(repeated[0].resend);
