Acknowledge an end only until a worker has responded, and drop responses of ended sessions

Cause: each renewal repeated the number of the last stored end. Carried out late by a next incarnation, it made that forget its own first ends. A session that had been replaced still applied its response, so the worker came back and got two sessions. A worker that is not registered and runs nothing was still asked for reports. Change: a renewal carries the number only until one with it has been answered. Responses of former sessions are ignored. Unregistered workers without runs get no renewals. No test of its own.

--- a/shallotdrift/src/Node/WorkerSessions.cpp
+++ b/shallotdrift/src/Node/WorkerSessions.cpp
@@ -128,14 +128,17 @@
     if (session->renewalPending || found == scheduler_.workers().end())
         return;
     auto& worker = found->second;
+    if (!worker.registered && worker.runs.empty())
+        return; // sync() goes on if the worker is registered again
     // While applied run ends are not stored yet, renewals are only sent as often as the lease needs.
     // acknowledgeStoredEnds() sends one as soon as the ends are stored.
     auto sentAt = BootClock::now();
     if (worker.lastAppliedEnd != session->lastStoredEnd && sentAt - session->renewalSentAt < unstoredRenewalInterval)
         return;
     session->renewalSentAt = sentAt;
-    // The next incarnation of a worker that does not respond would forget its own first ends.
-    auto acknowledgedEnd = session->failing ? 0 : session->lastStoredEnd;
+    // A later incarnation that the renewal reaches would forget its own first ends.
+    bool acknowledge = !session->failing && session->lastStoredEnd != session->acknowledgedEnd;
+    uint64_t acknowledgedEnd = acknowledge ? session->lastStoredEnd : 0;
     SentCall call { sentAt, worker.lease.stage() };
     platform::LeaseRenewalRequest request { session->worker, token(call.stage), acknowledgedEnd, std::nullopt,
         Milliseconds { 0 } };
@@ -147,16 +150,19 @@
     session->renewalPending = true;
     ++context_.counters.leaseRenewalsSent;
     context_.workerClient.send(session->address, platform::leaseRenewalRequest(request),
-        request.maximumWait + responseTimeout, [this, alive = alive_, session, call](HttpOutcome&& outcome) {
+        request.maximumWait + responseTimeout,
+        [this, alive = alive_, session, call, acknowledgedEnd](HttpOutcome&& outcome) {
             if (!*alive)
                 return;
             session->renewalPending = false;
-            onLeaseRenewalResponse(session, std::move(outcome), call);
+            auto current = sessions_.find(session->worker);
+            if (current != sessions_.end() && current->second == session)
+                onLeaseRenewalResponse(session, std::move(outcome), call, acknowledgedEnd);
         });
 }
 
 void WorkerSessions::onLeaseRenewalResponse(
-    const std::shared_ptr<Session>& session, HttpOutcome&& outcome, const SentCall& call)
+    const std::shared_ptr<Session>& session, HttpOutcome&& outcome, const SentCall& call, uint64_t acknowledgedEnd)
 {
     auto response = outcome.hasResponse ? platform::parseLeaseRenewalResponse(outcome.response)
                                         : platform::LeaseRenewalResponse {};
@@ -175,7 +181,9 @@
                     scheduler_.service(), found->second.info.bootTime - session->bootTime, found->second.runs.size());
             session->bootTime = found->second.info.bootTime;
             session->lastStoredEnd = 0; // each incarnation numbers its ends from 1
-        }
+            session->acknowledgedEnd = 0;
+        } else
+            session->acknowledgedEnd = std::max(session->acknowledgedEnd, acknowledgedEnd);
         if (changed)
             callbacks_.changed();
         if (*alive_)
--- a/shallotdrift/src/Node/WorkerSessions.h
+++ b/shallotdrift/src/Node/WorkerSessions.h
@@ -62,7 +62,8 @@
         std::string worker;
         std::string address;
         uint64_t lastStoredEnd = 0; // highest number of a stored run end; 0: none
-        int64_t bootTime = 0; // of the incarnation that lastStoredEnd refers to
+        uint64_t acknowledgedEnd = 0; // highest acknowledged number to which the worker has responded
+        int64_t bootTime = 0; // of the incarnation that the numbers of ends refer to
         Instant renewalSentAt {};
         bool renewalPending = false; // in flight, or scheduled for a retry
         bool failing = false; // the last lease renewal failed
@@ -70,7 +71,8 @@
     };
 
     void sendLeaseRenewal(const std::shared_ptr<Session>&);
-    void onLeaseRenewalResponse(const std::shared_ptr<Session>&, HttpOutcome&&, const SentCall&);
+    void onLeaseRenewalResponse(
+        const std::shared_ptr<Session>&, HttpOutcome&&, const SentCall&, uint64_t acknowledgedEnd);
     void scheduleLeaseRenewal(const std::shared_ptr<Session>&, Milliseconds);
     void logJoined(const std::string& worker) const;
     void dropWorker(const std::string& worker);
