Keep what an owner knows of a worker until no call can change it

An owner forgot a worker as soon as its usual lease had expired: when the worker came back, its first token was lower than the one the worker had seen, so the owner was fenced by itself, and a long lease was unknown. Doubt about a start never ended, so that a lasting task of a crashed worker was placed late. A run whose start had got no response was replaced after a stop although a further incarnation could still carry the start out. A late report of a former incarnation was taken as a reading of the new clock. An order that was refused as late was taken for over although an earlier copy was in flight. The two records of the ledger could be split over two appends. Change: workers stay until unseenExpiresAt(), and their stage outlasts them. Doubt ends, and a doubtful run can be replaced, with a report that was requested lateCallLimit after the last start. Reports of a former stage are ignored. The ledger has one record.

--- a/shallotdrift/src/Jobs/RunLedger.cpp
+++ b/shallotdrift/src/Jobs/RunLedger.cpp
@@ -6,9 +6,9 @@
 namespace shallotdrift {
 
 // Job ids consist of hexadecimal digits, so the keys of other records cannot collide with these.
-static constexpr char unresponsivePrefix[] = "unresponsive/";
-static constexpr char startsPrefix[] = "starts/";
-// Fields of the starts record.
+static constexpr char prefix[] = "ledger/";
+static constexpr char formerPrefix[] = "unresponsive/";
+static constexpr char unresponsiveField[] = "unresponsive";
 static constexpr char doubtfulFromField[] = "from";
 static constexpr char doubtfulField[] = "doubtful";
 static constexpr char longLeaseField[] = "long_lease_ms";
@@ -30,27 +30,27 @@
 }
 
 RunLedger::RunLedger(const std::string& service, const LeaseOptions& options, Instant takenOverAt)
-    : unresponsiveKey_(unresponsivePrefix + service)
-    , startsKey_(startsPrefix + service)
+    : key_(prefix + service)
+    , formerKey_(formerPrefix + service)
     , options_(&options)
     , takenOverAt_(takenOverAt)
 {
 }
 
-void RunLedger::restore(const std::string& unresponsive, const std::string& starts, Instant now)
+void RunLedger::restore(const std::string& text, const std::string& formerRecord, Instant now)
 {
-    auto workers = nlohmann::json::parse(unresponsive, nullptr, false);
-    if (workers.is_object())
-        for (const auto& [id, entry] : workers.items()) {
-            if (entry.is_number_integer()) // the format of earlier versions
-                unresponsive_[id] = { fromRemaining(entry.get<int64_t>(), now), std::nullopt };
-            else if (entry.is_array() && entry.size() == 2 && entry[0].is_number_integer()
-                && entry[1].is_number_integer())
-                unresponsive_[id] = { fromRemaining(entry[0].get<int64_t>(), now), entry[1].get<int64_t>() };
-        }
-    auto record = nlohmann::json::parse(starts, nullptr, false);
+    formerRecordStored_ = !formerRecord.empty();
+    auto record = nlohmann::json::parse(text, nullptr, false);
     if (!record.is_object())
         return;
+    if (auto workers = record.find(unresponsiveField); workers != record.end() && workers->is_object())
+        for (const auto& [id, entry] : workers->items())
+            if (entry.is_array() && !entry.empty() && entry[0].is_number_integer()) {
+                auto& recorded = unresponsive_[id];
+                recorded.at = fromRemaining(entry[0].get<int64_t>(), now);
+                if (entry.size() > 1 && entry[1].is_number_integer())
+                    recorded.bootTime = entry[1].get<int64_t>();
+            }
     if (auto next = record.find(doubtfulFromField); next != record.end() && next->is_number_unsigned())
         doubtfulFrom_ = next->get<uint64_t>();
     if (auto doubtful = record.find(doubtfulField); doubtful != record.end() && doubtful->is_array())
@@ -75,7 +75,7 @@
 
 Worker RunLedger::makeWorker(const std::string& id) const
 {
-    Worker worker(WorkerLease(*options_, takenOverAt_, restoredLongExpiry_));
+    Worker worker(WorkerLease(*options_, takenOverAt_, restoredLongExpiry_, firstStage_));
     worker.info.id = id;
     if (auto recorded = unresponsive_.find(id); recorded != unresponsive_.end()) {
         worker.lease.limitExpiry(recorded->second.at);
@@ -85,16 +85,14 @@
     return worker;
 }
 
-// The two records are written together: the recorded expiry of a worker holds for the starts on it that are recorded as
-// answered.
 std::vector<StateRecord> RunLedger::takeChangedRecords(Workers& workers, Instant now)
 {
-    bool unresponsiveChanged = updateUnresponsive(workers, now);
-    if (!unresponsiveChanged && !recordsDue(workers, now))
+    if (!updateUnresponsive(workers, now) && !recordDue(workers, now))
         return {};
-    std::vector<StateRecord> records { { startsKey_, encodeStarts(workers, now) } };
-    if (unresponsiveChanged || !unresponsive_.empty())
-        records.push_back({ unresponsiveKey_, encodeUnresponsive(workers, now) });
+    std::vector<StateRecord> records { { key_, encode(workers, now) } };
+    if (formerRecordStored_)
+        records.push_back({ formerKey_, {} });
+    formerRecordStored_ = false;
     return records;
 }
 
@@ -117,24 +115,6 @@
     return changed;
 }
 
-std::string RunLedger::encodeUnresponsive(const Workers& workers, Instant now)
-{
-    if (unresponsive_.empty())
-        return {};
-    auto record = nlohmann::json::object();
-    for (auto& [id, expiry] : unresponsive_) {
-        const auto& worker = workers.at(id);
-        expiry = { worker.lease.expiresAt(),
-            worker.reported ? std::optional(worker.info.bootTime) : worker.recordedBootTime };
-        auto remaining = remainingMilliseconds(expiry.at, now);
-        if (expiry.bootTime)
-            record[id] = nlohmann::json::array({ remaining, *expiry.bootTime });
-        else
-            record[id] = remaining;
-    }
-    return record.dump();
-}
-
 void RunLedger::onRecordsStored(Workers& workers) const
 {
     for (auto& [id, worker] : workers)
@@ -152,7 +132,7 @@
     return latest;
 }
 
-bool RunLedger::recordsDue(const Workers& workers, Instant now) const
+bool RunLedger::recordDue(const Workers& workers, Instant now) const
 {
     auto expiry = longLeaseExpiry(workers, now);
     if (expiry > longExpiry_)
@@ -169,7 +149,7 @@
     return false;
 }
 
-std::string RunLedger::encodeStarts(const Workers& workers, Instant now)
+std::string RunLedger::encode(const Workers& workers, Instant now)
 {
     doubtfulStarts_.clear();
     for (const auto& [id, worker] : workers)
@@ -185,6 +165,15 @@
     }
     recordedAt_ = now;
     nlohmann::json record { { doubtfulFromField, doubtfulFrom_ }, { doubtfulField, doubtfulStarts_ } };
+    auto& unresponsive = record[unresponsiveField] = nlohmann::json::object();
+    for (auto& [id, expiry] : unresponsive_) {
+        const auto& worker = workers.at(id);
+        expiry = { worker.lease.expiresAt(),
+            worker.reported ? std::optional(worker.info.bootTime) : worker.recordedBootTime };
+        unresponsive[id] = nlohmann::json::array({ remainingMilliseconds(expiry.at, now) });
+        if (expiry.bootTime)
+            unresponsive[id].push_back(*expiry.bootTime);
+    }
     longExpiry_ = longLeaseExpiry(workers, now);
     if (longExpiry_ != Instant {}) {
         longExpiry_ += longLeaseSlack;
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -171,7 +171,10 @@
     const std::string& workerId, const WorkerReport& report, const SentCall& call, const Now& now)
 {
     auto& worker = findOrAddWorker(workerId);
-    if (report.bootTime != 0 && worker.info.bootTime != 0 && report.bootTime != worker.info.bootTime)
+    bool restarted = report.bootTime != 0 && worker.info.bootTime != 0 && report.bootTime != worker.info.bootTime;
+    if (!restarted && call.stage != worker.lease.stage())
+        return false; // a response to another call has shown since then that the worker has started again
+    if (restarted)
         beginIncarnation(worker, report, call.sentAt, now);
     else if (worker.lease.isOtherClock(report.clock, call.sentAt))
         worker.lease.beginIncarnation(now.steady); // the clock stood still, and the lease with it
@@ -197,10 +200,18 @@
             worker.lastAppliedEnd = ended.sequenceNumber;
             changed = true;
         }
+    // After this time a start order without a response takes effect nowhere.
+    auto isSettled = [&](const Worker::Run& run) {
+        return run.unansweredStarts == 0 || call.sentAt >= run.startSentAt + options_.lease.lateCallLimit;
+    };
+    for (auto& [id, run] : worker.runs)
+        if (run.lastReportNumber == worker.reportCount && isSettled(run))
+            run.unansweredStarts = 0;
     std::vector<std::pair<TaskId, uint32_t>> absent;
     if (!report.endsTruncated) // otherwise a run that the report does not list may have ended in any way
         for (const auto& [id, run] : worker.runs)
-            if (run.confirmed && run.confirmedAt <= call.sentAt && run.lastReportNumber != worker.reportCount)
+            if (run.confirmed && run.confirmedAt <= call.sentAt && run.lastReportNumber != worker.reportCount
+                && isSettled(run))
                 absent.emplace_back(id, run.number);
     for (const auto& [id, run] : absent)
         endRun(workerId, id, run, RunOutcome::Stopped, {}, now);
@@ -292,6 +303,7 @@
     if (!task || task->runNumber != progress.runNumber || task->worker != worker.info.id) {
         run.stopRequested = true; // the task has another run or is completed
         return;
+    }
     task->state = TaskState::Running;
     task->available = progress.progressPercent >= 100 && !run.stopRequested;
     if (!progress.checkpoint.empty())
@@ -353,18 +365,6 @@
         recordFailure(*job, id, *task, runNumber, now);
 }
 
-// When one member of a gang completes, all members count as completed.
-void ServiceScheduler::completeTask(Job& job, const TaskId& id, const Now& now)
-{
-    if (!job.spec().steps[id.step].gang) {
-        job.markCompleted(id, now.wall);
-        return;
-    }
-    uint32_t members = job.spec().steps[id.step].count;
-    for (uint32_t index = 0; index < members; ++index)
-        job.markCompleted({ id.job, id.occurrence, id.step, index }, now.wall);
-}
-
 // Stops the newest run of the task, or those of all members of its gang.
 void ServiceScheduler::stopNewestRuns(Job& job, const TaskId& id)
 {
@@ -379,6 +379,18 @@
     }
 }
 
+// When one member of a gang completes, all members count as completed.
+void ServiceScheduler::completeTask(Job& job, const TaskId& id, const Now& now)
+{
+    if (!job.spec().steps[id.step].gang) {
+        job.markCompleted(id, now.wall);
+        return;
+    }
+    uint32_t members = job.spec().steps[id.step].count;
+    for (uint32_t index = 0; index < members; ++index)
+        job.markCompleted({ id.job, id.occurrence, id.step, index }, now.wall);
+}
+
 // Number of runs of a gang that failed. The members share the run number, so a run that several of them report as
 // failed counts once. Failures without a number are counted as the fewest runs that explain them.
 static uint32_t countFailedRuns(const std::vector<JobTask>& gang)
@@ -424,6 +436,7 @@
         return false;
     }
     run->startSent = true;
+    run->startSentAt = now.steady;
     run->resendAt = Instant::max();
     if (run->stopRequested)
         return false;
@@ -465,13 +478,21 @@
             task->state = TaskState::Running;
         return;
     }
+    if (refusal == StartRefusal::LeaseExpired && run->unansweredStarts > 0) {
+        run->stopRequested
+            = true; // on the clock of another incarnation, the lease end of an earlier copy may not have passed
+        return;
+    }
     if (refusal == StartRefusal::LeaseExpired) {
-        // The lease end of the order has passed, so an earlier copy of the order cannot take effect either.
         endRun(order.worker, order.task, order.runNumber, RunOutcome::Stopped, {}, now);
         return;
     }
-    if (refusal == StartRefusal::Fenced)
-        return; // the store shows whether this process is still the owner
+    if (refusal == StartRefusal::Fenced) { // by a later stage of this owner, see WorkerLease
+        run->startUncertain = !run->confirmed;
+        run->resendAt = now.steady + options_.orderRetryInterval;
+        hasUncertainStarts_ = true;
+        return;
+    }
     auto worker = workers_.find(order.worker);
     if (refusal == StartRefusal::Unhealthy)
         worker->second.quarantinedUntil = now.steady + options_.quarantineDuration / 2;
@@ -542,13 +563,15 @@
                 if (now.steady >= RunLedger::latestEnd(worker, run))
                     expired.push_back({ id, task, run.number, run.doubtful(), silence });
         }
-        if (!worker.registered && worker.runs.empty())
+        if (!worker.registered && worker.runs.empty() && now.steady >= worker.lease.unseenExpiresAt())
             removed.push_back(id);
     }
     for (const auto& run : expired)
         endRun(run.worker, run.task, run.runNumber, RunOutcome::LeaseExpired, {}, now);
-    for (const auto& id : removed)
+    for (const auto& id : removed) {
+        ledger_.onRemoved(workers_.at(id));
         workers_.erase(id);
+    }
     return expired;
 }
 
--- a/shallotdrift/src/Jobs/Worker.h
+++ b/shallotdrift/src/Jobs/Worker.h
@@ -23,6 +23,7 @@
         Milliseconds estimatedDuration { 0 };
         bool startSent = false; // the start order may have reached the worker
         bool startUncertain = false; // the start order got no response, so it may still take effect
+        Instant startSentAt {}; // of the last start order of this owner
         uint32_t unansweredStarts = 0; // start orders of this owner that are in flight or got no response
         bool doubtfulSinceTakeover = false; // the previous owner may have had no response to its start order
         bool confirmed = false; // a response covers this run, so reports requested after confirmedAt show its state
--- a/shallotdrift/src/Jobs/WorkerLease.h
+++ b/shallotdrift/src/Jobs/WorkerLease.h
@@ -37,8 +37,9 @@
 public:
     // Previous owners may have extended the lease and may have left calls in flight. A lease that they have stored as
     // longer than usual lasts until recordedExpiry.
-    WorkerLease(const LeaseOptions& options, Instant takenOverAt, Instant recordedExpiry = {})
+    WorkerLease(const LeaseOptions& options, Instant takenOverAt, Instant recordedExpiry = {}, uint32_t firstStage = 0)
         : options_(&options)
+        , stage_(firstStage)
         , inheritedExpiry_(std::max(expiryAfterTakeover(options, takenOverAt), recordedExpiry))
         , unseenExpiry_(takenOverAt + options.previousOwnerGrace + options.lateCallLimit
               + options.longest(options.maximumDuration))
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -111,7 +111,7 @@
     };
     for (auto& [name, entry] : services_) {
         auto& ledger = entry->scheduler.ledger();
-        ledger.restore(recordOf(ledger.unresponsiveKey()), recordOf(ledger.startsKey()), BootClock::now());
+        ledger.restore(recordOf(ledger.key()), recordOf(ledger.formerKey()), BootClock::now());
         entry->scheduler.finishRestore(currentTime());
     }
     active_ = true;
