Deny knowledge of a job only after the ownership is confirmed

Cause: the store can reassign partitions at any time. The former owner hears of it with its next join, up to 2 s later if it is cut off from the store, and until then answered that it did not know jobs that the next owner had accepted. A cancellation that is answered 410 counts as acknowledged. Change: such an answer waits for a join that was sent after the request, for 600 ms; then the router is told to ask again. Evidence: MembershipTest::unknownJobsAreDeniedOnlyByAConfirmedOwner failed before and passes.

--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -6,6 +6,8 @@
 
 #include <asio/post.hpp>
 #include <fmt/format.h>
+#include <iterator>
+#include <utility>
 
 namespace shallotdrift::internal {
 
@@ -15,6 +17,8 @@
 static constexpr Milliseconds tickInterval { 100 };
 // An append usually takes 5 ms. While an append takes longer than this, new jobs are refused at once and do not wait.
 static constexpr Milliseconds appendStallLimit { 500 };
+// A join is sent every 250 ms and usually takes 5 ms. The router asks again after a response that denies the ownership.
+static constexpr Milliseconds ownershipCheckTimeout { 600 };
 // No lease is extended when the ownership has not been confirmed for this time. The next owner, which may take over
 // right after the confirmation, allows for it.
 static constexpr Milliseconds maximumUnconfirmedTime = LeaseOptions {}.previousOwnerGrace;
@@ -62,6 +66,9 @@
     for (auto& [name, service] : services_)
         service->sessions.stop();
     refuseSubmissions();
+    for (auto& request : unknownJobRequests_)
+        request.respond({ notOwnerStatus });
+    unknownJobRequests_.clear();
     logger("owner")->info("partition={} event=released token={}", number_, fencingToken_);
 }
 
@@ -303,10 +310,27 @@
     }
 }
 
-// Once the membership has expired, another owner may have accepted the job.
-HttpResponse OwnedPartition::unknownJobResponse() const
+// Another owner may have accepted the job: the store can reassign partitions at any time, and this owner hears of it
+// with its next join only.
+void OwnedPartition::respondUnknownJob(ResponseCallback respond)
 {
-    return { context_.membershipLease.valid(BootClock::now()) ? 410U : notOwnerStatus };
+    unknownJobRequests_.push_back({ BootClock::now(), std::move(respond) });
+}
+
+void OwnedPartition::confirmUnknownJobs()
+{
+    auto now = BootClock::now();
+    std::vector<UnknownJobRequest> waiting;
+    for (auto& request : std::exchange(unknownJobRequests_, {})) {
+        if (context_.membershipLease.confirmedAt >= request.receivedAt)
+            request.respond({ 410 });
+        else if (now - request.receivedAt >= ownershipCheckTimeout)
+            request.respond({ notOwnerStatus });
+        else
+            waiting.push_back(std::move(request));
+    }
+    unknownJobRequests_.insert(
+        unknownJobRequests_.end(), std::make_move_iterator(waiting.begin()), std::make_move_iterator(waiting.end()));
 }
 
 void OwnedPartition::query(const OwnerRequest& request, ResponseCallback respond)
@@ -329,7 +353,7 @@
             respond({ 200, platform::formatJobState(JobStatus::Active, false) });
             return;
         }
-    respond(unknownJobResponse());
+    respondUnknownJob(std::move(respond));
 }
 
 void OwnedPartition::cancel(const OwnerRequest& request, ResponseCallback respond)
@@ -342,7 +366,7 @@
             runSchedulingCycle();
             return;
         }
-    respond(unknownJobResponse());
+    respondUnknownJob(std::move(respond));
 }
 
 // Calls the function once all changes made so far are stored.
@@ -455,6 +479,7 @@
     }
     if (storeStalled(now.steady))
         refuseSubmissions();
+    confirmUnknownJobs();
     runSchedulingCycle();
     logShortage(now);
     timer_.expires_after(tickInterval);
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -67,7 +67,8 @@
     void submit(OwnerRequest&&, ResponseCallback);
     void query(const OwnerRequest&, ResponseCallback);
     void cancel(const OwnerRequest&, ResponseCallback);
-    HttpResponse unknownJobResponse() const;
+    void respondUnknownJob(ResponseCallback);
+    void confirmUnknownJobs();
     void admitSubmissions();
     void callWhenStored(std::function<void()>);
     void failUnstorable(const std::string& job);
@@ -96,6 +97,12 @@
     std::map<std::string, std::pair<std::string, Job::StateParts>> loadedRecords_; // job id -> specification, state
     std::map<std::string, std::unique_ptr<Service>> services_;
     std::deque<Submission> submissions_;
+    // Requests about unknown jobs, which wait until a join that was sent after them has confirmed the ownership.
+    struct UnknownJobRequest {
+        Instant receivedAt;
+        ResponseCallback respond;
+    };
+    std::vector<UnknownJobRequest> unknownJobRequests_;
     std::vector<std::function<void()>> callbacksWhenStored_; // of changes that no append contains yet
 };
 
--- a/test/MembershipTest.cpp
+++ b/test/MembershipTest.cpp
@@ -3,6 +3,7 @@
 
 #include "shallotdrift/Http.h"
 #include "shallotdrift/src/Node/Membership.h"
+#include "shallotdrift/src/Node/OwnedPartition.h"
 #include "standin/StoreStandIn.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -97,6 +98,7 @@
 class MembershipTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(MembershipTest);
     CPPUNIT_TEST(expiredOwnershipIsNotContinued);
+    CPPUNIT_TEST(unknownJobsAreDeniedOnlyByAConfirmedOwner);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -132,6 +134,29 @@
         for (const auto& [partition, generation] : harness.owned)
             CPPUNIT_ASSERT(generation > first.at(partition));
     }
+
+    // Guards against a cancellation without effect: the store had assigned a partition anew, and its former owner,
+    // which had not heard of that yet, answered that it did not know a job that the next owner had accepted.
+    void unknownJobsAreDeniedOnlyByAConfirmedOwner()
+    {
+        using Store = MembershipHarness::Store;
+        MembershipHarness harness;
+        harness.runUntil([&] { return harness.owned.size() == partitions; });
+        auto [number, generation] = *harness.owned.begin();
+        auto owner = std::make_shared<internal::OwnedPartition>(*harness.context, number, generation, [] {});
+        owner->start();
+        harness.runUntil([&] { return owner->active(); });
+        auto cancel = [&] {
+            std::optional<unsigned> status;
+            owner->handle({ internal::OwnerRequest::Type::Cancel, "render", "000000000000000a", {} },
+                [&](HttpResponse&& response) { status = response.status; });
+            harness.runUntil([&] { return status.has_value(); });
+            return *status;
+        };
+        CPPUNIT_ASSERT_EQUAL(410U, cancel());
+        harness.mode = Store::IsUnreachable;
+        CPPUNIT_ASSERT_EQUAL(421U, cancel());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
