--- a/shallotdrift/src/Jobs/RunLedger.cpp
+++ b/shallotdrift/src/Jobs/RunLedger.cpp
@@ -16,7 +16,7 @@
 static constexpr Milliseconds recordInterval { 500 };
 // Added to a long lease in the record, so that workers that report one after another do not each need a new record.
 static constexpr Milliseconds longLeaseSlack { 500 };
-static constexpr ptrdiff_t maximumListedStarts = 200; // bounds the size of the record
+static constexpr size_t maximumListedStarts = 200; // bounds the size of the record
 static constexpr Milliseconds maximumRemaining { 3600000 }; // excludes an overflow
 
 static Instant fromRemaining(int64_t milliseconds, Instant now)
@@ -157,9 +157,9 @@
             if (run.startNumber != 0 && (!run.startSent || run.doubtful()))
                 doubtfulStarts_.insert(run.startNumber);
     doubtfulFrom_ = nextStart_;
-    if (doubtfulStarts_.size()
-        > static_cast<size_t>(maximumListedStarts)) { // the later ones count as doubtful without being listed
-        auto firstUnlisted = std::next(doubtfulStarts_.begin(), maximumListedStarts);
+    // The starts that are left out, and all later ones, count as doubtful.
+    if (doubtfulStarts_.size() > maximumListedStarts) {
+        auto firstUnlisted = std::next(doubtfulStarts_.begin(), static_cast<ptrdiff_t>(maximumListedStarts));
         doubtfulFrom_ = *firstUnlisted;
         doubtfulStarts_.erase(firstUnlisted, doubtfulStarts_.end());
     }
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -177,7 +177,7 @@
     if (restarted)
         beginIncarnation(worker, report, call.sentAt, now);
     else if (worker.lease.isOtherClock(report.clock, call.sentAt))
-        worker.lease.beginIncarnation(now.steady); // the clock stood still, and the lease with it
+        worker.lease.beginIncarnation(now.steady); // the worker was paused, and its lease with it
     bool asRecorded = !worker.reported && worker.recordedBootTime && *worker.recordedBootTime == report.bootTime;
     worker.lease.confirmStage(call.stage, asRecorded, now.steady);
     if (report.bootTime != 0)
@@ -479,8 +479,8 @@
         return;
     }
     if (refusal == StartRefusal::LeaseExpired && run->unansweredStarts > 0) {
-        run->stopRequested
-            = true; // on the clock of another incarnation, the lease end of an earlier copy may not have passed
+        // On the clock of another incarnation, the lease end of an earlier copy may not have passed.
+        run->stopRequested = true;
         return;
     }
     if (refusal == StartRefusal::LeaseExpired) {
