Satisfy the linter in the test of the ledger

Cause: parameters passed by value and an implicit widening. Change: const references and a constant for the number of seeds.

--- a/test/RunLedgerTest.cpp
+++ b/test/RunLedgerTest.cpp
@@ -243,8 +243,8 @@
         }
 
         // Sends a call. It is lost, delayed, or carried out late without a response; a response may be lost, too.
-        void send(const Owner& sender, ProtocolWorker& worker, std::function<void()> execute,
-            std::function<void(bool)> respond)
+        void send(const Owner& sender, ProtocolWorker& worker, const std::function<void()>& execute,
+            const std::function<void(bool)>& respond)
         {
             auto cutUntil = cutUntil_[worker.id()];
             if (const auto& zoneCut = zoneCuts_[worker.id()]; sender.generation >= zoneCut.firstOwner)
@@ -467,10 +467,11 @@
     // Guards against two simultaneous runs of a task on workers that start again under their ids and are cut off.
     void noTaskRunsTwiceThroughRestartsCutsAndTakeovers()
     {
+        static constexpr uint64_t seeds = 1500;
         size_t starts = 0;
         size_t restarts = 0;
         size_t takeovers = 0;
-        for (uint64_t seed = 1; seed <= 1500; ++seed) {
+        for (uint64_t seed = 1; seed <= seeds; ++seed) {
             Section section(fmt::format("seed {}", seed));
             OwnersAndWorkers world(seed);
             world.run(Milliseconds { 60000 });
@@ -478,9 +479,9 @@
             restarts += world.restarts;
             takeovers += world.takeovers;
         }
-        CPPUNIT_ASSERT(starts > 1500 * 6);
-        CPPUNIT_ASSERT(restarts > 1500);
-        CPPUNIT_ASSERT(takeovers > 1500);
+        CPPUNIT_ASSERT(starts > 6 * seeds);
+        CPPUNIT_ASSERT(restarts > seeds);
+        CPPUNIT_ASSERT(takeovers > seeds);
     }
 };
 
