Send calls with an effect only to the incarnation of a worker that the owner knows

Callers would see a task run twice: a worker that has started again under its id carries out a start for its former incarnation, and is then cut off. Cause: nothing in a call tells the incarnations of a worker apart. Owners waited until 2 s after the last call (lateCallLimit), while the platform carries orders out 2 s to 12 s late. A start of a former owner, and a further restart, were not covered at all. Change: HttpClient can bind a request to one process (HttpPeer), by a connection on which this process has identified itself. Starts, lease extensions and acknowledgements are bound to the incarnation that the owner knows. A connection ends with the process that accepted it, so no other incarnation gets the call, however late it is carried out. A start that finds no such connection is not sent and its task is placed again. The earlier waits are kept, since owners of the version before don't bind their calls. Evidence: WorkerSessionsTest::startsReachOnlyTheIncarnationThatTheOwnerKnows failed 3 of 3 before (the new incarnation had begun 3 tasks) and passes 3 of 3.

--- a/shallotdrift/src/Http/HttpClient.cpp
+++ b/shallotdrift/src/Http/HttpClient.cpp
@@ -28,8 +28,13 @@
         std::string bytes; // head and body of the request
         Instant deadline;
         HttpClient::Handler handler;
+        std::shared_ptr<const HttpPeer> peer; // null: any process may handle the request
+        std::string identification; // the request that identifies the peer, if one has to be sent
         bool sent = false;
 
+        // Whether the request is for a certain process.
+        bool bound() const { return peer && peer->id != 0; }
+
         // An exception of the handler is thrown again from the event loop, so that it leaves the connections and the
         // handlers of other requests alone.
         void finish(asio::io_context& io, HttpOutcome&& outcome)
@@ -43,6 +48,20 @@
         }
     };
 
+    // The head and the body of the request.
+    std::string format(const std::string& address, const HttpRequest& request)
+    {
+        auto head = HttpHead::request(request.method, request.target);
+        head.add("Host", address);
+        if (!request.contentType.empty())
+            head.add("Content-Type", request.contentType);
+        for (const auto& header : request.headers)
+            head.add(header.name, header.value);
+        if (!request.body.empty() || request.method != "GET")
+            head.add("Content-Length", request.body.size());
+        return head.finish() + request.body;
+    }
+
     struct ClientState {
         asio::io_context& io;
         DeadlineQueue& deadlines;
@@ -64,8 +83,10 @@
         void open(const tcp::endpoint&, std::shared_ptr<Exchange>);
         void reuse(std::shared_ptr<Exchange>);
         void close();
+        uint64_t peer() const { return peer_; }
 
     private:
+        void begin();
         void write();
         void read();
         void onRead(std::error_code, size_t);
@@ -77,6 +98,8 @@
         tcp::socket socket_;
         HttpReader reader_;
         std::shared_ptr<Exchange> exchange_;
+        uint64_t peer_ = 0; // id of the process that has accepted the connection; 0: unknown
+        bool identifying_ = false; // the response to the identification of the exchange is pending
         bool reading_ = false; // an asynchronous wait for readability is pending
         bool closed_ = false;
     };
@@ -84,13 +107,15 @@
     // Connections to one address and the requests that wait for a free one.
     class ConnectionPool : public DeadlineHandler {
     public:
-        ConnectionPool(ClientState& shared, const std::string& address)
+        ConnectionPool(ClientState& shared, std::string address)
             : shared_(shared)
+            , address_(std::move(address))
         {
-            if (auto endpoint = parseAddress(address))
+            if (auto endpoint = parseAddress(address_))
                 endpoint_ = *endpoint;
         }
 
+        const std::string& address() const { return address_; }
         void submit(std::shared_ptr<Exchange>);
         void onIdle(const std::shared_ptr<Connection>&);
         void onClosed(const std::shared_ptr<Connection>&);
@@ -98,10 +123,12 @@
         void stop();
 
     private:
+        std::vector<std::shared_ptr<Connection>>::iterator findIdle(const Exchange&);
         void dispatch();
         void onDeadline() override;
 
         ClientState& shared_;
+        std::string address_;
         std::optional<tcp::endpoint> endpoint_;
         std::unordered_set<std::shared_ptr<Connection>> connections_;
         std::vector<std::shared_ptr<Connection>> idle_;
@@ -122,21 +149,29 @@
             }
             std::error_code ignored;
             self->socket_.set_option(tcp::no_delay(true), ignored);
-            self->write();
+            self->begin();
         });
     }
 
     void Connection::reuse(std::shared_ptr<Exchange> exchange)
     {
         exchange_ = std::move(exchange);
+        begin();
+    }
+
+    void Connection::begin()
+    {
+        identifying_ = exchange_->bound() && peer_ != exchange_->peer->id;
+        if (identifying_)
+            exchange_->identification = format(connectionPool_.address(), exchange_->peer->identify());
         write();
     }
 
     void Connection::write()
     {
         shared_.deadlines.set(*this, exchange_->deadline);
-        exchange_->sent = true;
-        asio::async_write(socket_, asio::buffer(exchange_->bytes),
+        exchange_->sent = !identifying_;
+        asio::async_write(socket_, asio::buffer(identifying_ ? exchange_->identification : exchange_->bytes),
             [self = shared_from_this(), writing = exchange_](std::error_code error, size_t) {
                 if (error && !self->closed_ && self->exchange_ == writing)
                     self->fail(false);
@@ -182,9 +217,19 @@
             return;
         }
         auto self = shared_from_this();
-        auto exchange = std::move(exchange_);
         bool reusable = reader_.message().keepAlive && used == length;
         HttpOutcome outcome { true, true, reader_.takeMessage() };
+        if (exchange_->peer && (identifying_ || !exchange_->bound()))
+            peer_ = exchange_->peer->idOf(outcome.response);
+        if (identifying_) {
+            identifying_ = false;
+            if (reusable && peer_ == exchange_->peer->id) {
+                write();
+                return;
+            }
+            outcome = {};
+        }
+        auto exchange = std::move(exchange_);
         if (reusable) {
             shared_.deadlines.set(*this, BootClock::now() + shared_.options.idleTimeout);
             read(); // to notice when the server closes the idle connection
@@ -224,6 +269,22 @@
         dispatch();
     }
 
+    // The most recently used idle connection that suits the request. A connection to another process than the required
+    // one is reused only if no further one may be opened.
+    std::vector<std::shared_ptr<Connection>>::iterator ConnectionPool::findIdle(const Exchange& exchange)
+    {
+        if (idle_.empty())
+            return idle_.end();
+        auto last = std::prev(idle_.end());
+        if (!exchange.bound())
+            return last;
+        auto found = std::find_if(idle_.rbegin(), idle_.rend(),
+            [&](const auto& connection) { return connection->peer() == exchange.peer->id; });
+        if (found != idle_.rend())
+            return std::prev(found.base());
+        return connections_.size() < shared_.options.connectionsPerAddress ? idle_.end() : last;
+    }
+
     void ConnectionPool::dispatch()
     {
         while (!waiting_.empty()) {
@@ -231,10 +292,10 @@
             if (!endpoint_) {
                 waiting_.pop_front();
                 asio::post(shared_.io, [&io = shared_.io, exchange] { exchange->finish(io, {}); });
-            } else if (!idle_.empty()) {
+            } else if (auto idle = findIdle(*exchange); idle != idle_.end()) {
                 waiting_.pop_front();
-                auto connection = idle_.back();
-                idle_.pop_back();
+                auto connection = *idle;
+                idle_.erase(idle);
                 connection->reuse(std::move(exchange));
             } else if (connections_.size() < shared_.options.connectionsPerAddress) {
                 waiting_.pop_front();
@@ -305,20 +366,14 @@
     {
     }
 
-    void send(const std::string& address, HttpRequest&& request, Milliseconds timeout, Handler&& handler)
+    void send(const std::string& address, HttpRequest&& request, Milliseconds timeout, Handler&& handler,
+        std::shared_ptr<const HttpPeer>&& peer)
     {
-        auto head = HttpHead::request(request.method, request.target);
-        head.add("Host", address);
-        if (!request.contentType.empty())
-            head.add("Content-Type", request.contentType);
-        for (const auto& header : request.headers)
-            head.add(header.name, header.value);
-        if (!request.body.empty() || request.method != "GET")
-            head.add("Content-Length", request.body.size());
         auto exchange = std::make_shared<Exchange>();
-        exchange->bytes = head.finish() + request.body;
+        exchange->bytes = format(address, request);
         exchange->deadline = BootClock::now() + timeout;
         exchange->handler = std::move(handler);
+        exchange->peer = std::move(peer);
         auto& connectionPool = connectionPools_[address];
         if (!connectionPool)
             connectionPool = std::make_unique<ConnectionPool>(shared_, address);
@@ -345,9 +400,10 @@
 
 HttpClient::~HttpClient() { stop(); }
 
-void HttpClient::send(const std::string& address, HttpRequest request, Milliseconds timeout, Handler handler)
+void HttpClient::send(const std::string& address, HttpRequest request, Milliseconds timeout, Handler handler,
+    std::shared_ptr<const HttpPeer> peer)
 {
-    implementation_->send(address, std::move(request), timeout, std::move(handler));
+    implementation_->send(address, std::move(request), timeout, std::move(handler), std::move(peer));
 }
 
 uint64_t HttpClient::connectionsOpened() const { return implementation_->connectionsOpened(); }
--- a/shallotdrift/src/Http/HttpClient.h
+++ b/shallotdrift/src/Http/HttpClient.h
@@ -25,6 +25,15 @@
     HttpMessage response {};
 };
 
+// Restricts a request to one process of several that may listen at the address one after another. A connection never
+// leads to another process than the one that has accepted it, so the request is sent on a connection on which that
+// process has identified itself, or not at all.
+struct HttpPeer {
+    uint64_t id = 0; // of the process; 0: any process, whose id is taken from its response to the request
+    std::function<HttpRequest()> identify; // makes a request without effects, sent first on a new connection
+    std::function<uint64_t(const HttpMessage&)> idOf; // the id in a response; 0: unknown
+};
+
 // HTTP/1.1 client that runs on one Asio thread, with a pool of persistent connections for each address. When a request
 // times out, the idle connections to its address are closed as well, because the peer may have failed without closing
 // them.
@@ -38,8 +47,9 @@
     HttpClient& operator=(const HttpClient&) = delete;
 
     // Sends the request to "IP:port". The handler is called once, never from within send(). On failure, the outcome has
-    // no response. The timeout includes the wait for a free connection.
-    void send(const std::string& address, HttpRequest, Milliseconds timeout, Handler);
+    // no response. The timeout includes the wait for a free connection and the identification of the peer.
+    void send(const std::string& address, HttpRequest, Milliseconds timeout, Handler,
+        std::shared_ptr<const HttpPeer> = nullptr);
     // Number of connections opened since the start.
     uint64_t connectionsOpened() const;
     // Closes all connections and drops all requests; their handlers are not called.
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -516,6 +516,25 @@
     hasUncertainStarts_ = true;
 }
 
+void ServiceScheduler::onStartNotSent(const StartOrder& order, const Now& now)
+{
+    auto* run = findRun(order.worker, order.task, order.runNumber);
+    if (!run)
+        return;
+    if (run->unansweredStarts > 0)
+        --run->unansweredStarts;
+    auto& worker = workers_.at(order.worker);
+    worker.quarantinedUntil = std::max(worker.quarantinedUntil, now.steady + options_.orderRetryInterval);
+    if (run->confirmed)
+        return;
+    if (run->unansweredStarts == 0 && !run->startUncertain) {
+        endRun(order.worker, order.task, order.runNumber, RunOutcome::Stopped, {}, now);
+        return;
+    }
+    run->resendAt = now.steady + options_.orderRetryInterval; // an earlier order may have taken effect
+    hasUncertainStarts_ = true;
+}
+
 // After the stop, the worker refuses to start the run, so any report requested from now on shows whether the run is
 // active.
 void ServiceScheduler::onStopResponse(const StopOrder& order, const Now& now)
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -112,6 +112,8 @@
     void withholdStart(const StartOrder&, const Now&);
     void onStartResponse(const StartOrder&, StartRefusal, const Now&);
     void onNoStartResponse(const StartOrder&, const Now&);
+    // The start order has reached no worker.
+    void onStartNotSent(const StartOrder&, const Now&);
     void onStopResponse(const StopOrder&, const Now&);
     // To be called when a lease renewal has failed. The worker gets no new runs until it reports again.
     void markUnresponsive(const std::string& worker);
--- a/shallotdrift/src/Jobs/WorkerLease.h
+++ b/shallotdrift/src/Jobs/WorkerLease.h
@@ -14,7 +14,8 @@
     Milliseconds safetyMargin { 100 }; // added to every expiry
     // Longest time for which an owner continues to extend leases after its partition has been taken over.
     Milliseconds previousOwnerGrace { 3500 };
-    // A call without a response takes effect in a later incarnation of its worker within this time or not at all.
+    // A call of an earlier version that got no response takes effect in a later incarnation of its worker within this
+    // time or not at all. Those of this version take effect in no other incarnation; see HttpPeer.
     Milliseconds lateCallLimit { 2000 };
 
     // Longest time on the owner's clock for which a worker keeps a lease of the given duration.
--- a/shallotdrift/src/Node/NodeContext.h
+++ b/shallotdrift/src/Node/NodeContext.h
@@ -21,6 +21,7 @@
     uint64_t startsSent = 0;
     uint64_t startsRefused = 0;
     uint64_t startsUnanswered = 0;
+    uint64_t startsNotSent = 0; // the incarnation that they were for could not be reached
     uint64_t runsEnded = 0;
     uint64_t leaseRenewalsSent = 0;
     uint64_t leaseRenewalsFailed = 0;
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -313,6 +313,7 @@
             add("starts_sent_total", counters.startsSent);
             add("starts_refused_total", counters.startsRefused);
             add("starts_unanswered_total", counters.startsUnanswered);
+            add("starts_not_sent_total", counters.startsNotSent);
             add("runs_ended_total", counters.runsEnded);
             add("holds_sent_total", counters.leaseRenewalsSent);
             add("holds_failed_total", counters.leaseRenewalsFailed);
--- a/shallotdrift/src/Node/WorkerSessions.cpp
+++ b/shallotdrift/src/Node/WorkerSessions.cpp
@@ -104,6 +104,29 @@
     return fencingToken_ * stagesPerOwner + std::min(stage, stagesPerOwner - 1);
 }
 
+std::shared_ptr<const HttpPeer> WorkerSessions::makePeer(
+    const std::string& worker, int64_t bootTime, uint32_t stage) const
+{
+    HttpPeer peer;
+    peer.id = static_cast<uint64_t>(bootTime);
+    peer.identify = [worker, token = token(stage)] {
+        return platform::leaseRenewalRequest({ worker, token, 0, std::nullopt, Milliseconds { 0 } });
+    };
+    peer.idOf = [](const HttpMessage& response) { return static_cast<uint64_t>(platform::parseBootTime(response)); };
+    return std::make_shared<const HttpPeer>(std::move(peer));
+}
+
+std::shared_ptr<const HttpPeer> WorkerSessions::incarnationOf(Session& session, const Worker& worker) const
+{
+    auto id = static_cast<uint64_t>(worker.info.bootTime);
+    auto stage = worker.lease.stage();
+    if (!session.incarnation || session.incarnation->id != id || session.incarnationStage != stage) {
+        session.incarnation = makePeer(session.worker, worker.info.bootTime, stage);
+        session.incarnationStage = stage;
+    }
+    return session.incarnation;
+}
+
 bool WorkerSessions::isSuperseded(const std::string& worker, uint32_t stage) const
 {
     auto found = scheduler_.workers().find(worker);
@@ -136,29 +159,30 @@
     if (worker.lastAppliedEnd != session->lastStoredEnd && sentAt - session->renewalSentAt < unstoredRenewalInterval)
         return;
     session->renewalSentAt = sentAt;
-    // A later incarnation that the renewal reaches would forget its own first ends.
-    bool acknowledge = !session->failing && session->lastStoredEnd != session->acknowledgedEnd;
-    uint64_t acknowledgedEnd = acknowledge ? session->lastStoredEnd : 0;
     SentCall call { sentAt, worker.lease.stage() };
-    platform::LeaseRenewalRequest request { session->worker, token(call.stage), acknowledgedEnd, std::nullopt,
-        Milliseconds { 0 } };
-    if (worker.mayExtendLease() && callbacks_.mayExtendLeases())
-        request.leaseEnd = worker.lease.extend(sentAt);
-    if (worker.reported && !session->failing) {
+    platform::LeaseRenewalRequest request { session->worker, token(call.stage), 0, std::nullopt, Milliseconds { 0 } };
+    // Another incarnation may respond to the first call, and to the first one after a failure.
+    bool incarnationKnown = worker.reported && !session->failing && worker.lease.hasClockSample();
+    if (incarnationKnown) {
+        if (session->lastStoredEnd != session->acknowledgedEnd)
+            request.acknowledgedEnd = session->lastStoredEnd;
+        if (worker.mayExtendLease() && callbacks_.mayExtendLeases())
+            request.leaseEnd = worker.lease.extend(sentAt);
         request.maximumWait = worker.runs.empty() ? idleRenewalWait : busyRenewalWait;
     }
     session->renewalPending = true;
     ++context_.counters.leaseRenewalsSent;
-    context_.workerClient.send(session->address, platform::leaseRenewalRequest(request),
-        request.maximumWait + responseTimeout,
-        [this, alive = alive_, session, call, acknowledgedEnd](HttpOutcome&& outcome) {
+    context_.workerClient.send(
+        session->address, platform::leaseRenewalRequest(request), request.maximumWait + responseTimeout,
+        [this, alive = alive_, session, call, acknowledgedEnd = request.acknowledgedEnd](HttpOutcome&& outcome) {
             if (!*alive)
                 return;
             session->renewalPending = false;
             auto current = sessions_.find(session->worker);
             if (current != sessions_.end() && current->second == session)
                 onLeaseRenewalResponse(session, std::move(outcome), call, acknowledgedEnd);
-        });
+        },
+        incarnationKnown ? incarnationOf(*session, worker) : makePeer(session->worker, 0, call.stage));
 }
 
 void WorkerSessions::onLeaseRenewalResponse(
@@ -238,7 +262,8 @@
 void WorkerSessions::send(const StartOrder& order)
 {
     auto found = scheduler_.workers().find(order.worker);
-    if (found == scheduler_.workers().end())
+    auto session = sessions_.find(order.worker);
+    if (found == scheduler_.workers().end() || session == sessions_.end())
         return;
     if (!callbacks_.mayExtendLeases()) {
         scheduler_.withholdStart(order, currentTime());
@@ -249,12 +274,23 @@
     ++context_.counters.startsSent;
     auto& lease = found->second.lease;
     SentCall call { BootClock::now(), lease.stage() };
-    context_.workerClient.send(found->second.info.address,
-        platform::startRunRequest(order, lease.extend(call.sentAt), token(call.stage)), orderTimeout,
+    context_.workerClient.send(
+        found->second.info.address, platform::startRunRequest(order, lease.extend(call.sentAt), token(call.stage)),
+        orderTimeout,
         [this, alive = alive_, order, call](HttpOutcome&& outcome) {
             if (!*alive)
                 return;
             auto now = currentTime();
+            if (!outcome.sent) {
+                ++context_.counters.startsNotSent;
+                logger("workers")->info(
+                    "request={} event=start_not_sent step={} index={} run={} worker={} waited_ms={}", order.task.job,
+                    order.task.step, order.task.index, order.runNumber, order.worker,
+                    std::chrono::duration_cast<Milliseconds>(now.steady - call.sentAt).count());
+                scheduler_.onStartNotSent(order, now);
+                callbacks_.changed();
+                return;
+            }
             if (!outcome.hasResponse) {
                 ++context_.counters.startsUnanswered;
                 logger("workers")->info(
@@ -285,7 +321,8 @@
                 if (refusal != StartRefusal::None)
                     callbacks_.changed();
             }
-        });
+        },
+        incarnationOf(*session->second, found->second));
 }
 
 void WorkerSessions::send(const StopOrder& order)
--- a/shallotdrift/src/Node/WorkerSessions.h
+++ b/shallotdrift/src/Node/WorkerSessions.h
@@ -68,8 +68,14 @@
         bool renewalPending = false; // in flight, or scheduled for a retry
         bool failing = false; // the last lease renewal failed
         std::unique_ptr<asio::steady_timer> timer;
+        std::shared_ptr<const HttpPeer> incarnation; // see incarnationOf()
+        uint32_t incarnationStage = 0; // of the call that identifies it
     };
 
+    // The incarnation of the worker that the owner knows. Calls that start runs, extend the lease or acknowledge ends
+    // are for this one only: they reach no other one, however late they arrive.
+    std::shared_ptr<const HttpPeer> incarnationOf(Session&, const Worker&) const;
+    std::shared_ptr<const HttpPeer> makePeer(const std::string& worker, int64_t bootTime, uint32_t stage) const;
     void sendLeaseRenewal(const std::shared_ptr<Session>&);
     void onLeaseRenewalResponse(
         const std::shared_ptr<Session>&, HttpOutcome&&, const SentCall&, uint64_t acknowledgedEnd);
--- a/spec/leases.pml
+++ b/spec/leases.pml
@@ -104,6 +104,19 @@
 #define MAY_EXTEND(self) (self == 1 || storedExpiry == NONE)
 #endif
 
+/* With BOUND, calls reach only the incarnation that they are meant for, at any later time. */
+#ifdef BOUND
+#define STAYS_IN_FLIGHT true
+#ifdef MUTATE_UNBOUND_CALLS
+#define REACHES(call) true
+#else
+#define REACHES(call) (calls[call].target == incarnation)
+#endif
+#else
+#define STAYS_IN_FLIGHT false
+#define REACHES(call) true
+#endif
+
 #define NONE 255
 #define MAX(a, b) ((a) > (b) -> (a) : (b))
 #define MIN(a, b) ((a) < (b) -> (a) : (b))
@@ -168,7 +181,13 @@
 byte over = 0; /* highest run that was replaced */
 byte i = 0, next = 0;
 #ifdef EARLIER_OWNER
+#ifdef BOUND
+byte earlierCalls = GRACE + STANDARD_LEASE; /* remaining time of the leases that the first owner's predecessor extends */
+#define EARLIER_LEASE (incarnation == 0 -> MAX(workerLease, earlierCalls) : workerLease)
+#else
 byte earlierCalls = GRACE + LATE_LIMIT + 1; /* while calls of the first owner's predecessor may be executed */
+#define EARLIER_LEASE MAXIMUM_LEASE
+#endif
 #endif
 
 inline clearDoubt(self)
@@ -402,9 +421,12 @@
 proctype Network(byte call)
 {
     do
-    :: d_step { calls[call].inFlight -> execute(call); forget(call) }
+    :: d_step { calls[call].inFlight && REACHES(call) -> execute(call); forget(call) }
+#ifdef BOUND
+    :: d_step { calls[call].inFlight -> forget(call) } /* lost */
+#endif
     :: d_step {
-        calls[call].inFlight && calls[call].runNumber > 0 && !response.pending ->
+        calls[call].inFlight && REACHES(call) && calls[call].runNumber > 0 && !response.pending ->
         execute(call);
         respond(call);
         forget(call)
@@ -435,7 +457,7 @@
 proctype EarlierOwner()
 {
     do
-    :: d_step { earlierCalls > 0 && workerToken == 0 -> workerLease = MAXIMUM_LEASE }
+    :: d_step { earlierCalls > 0 && workerToken == 0 -> workerLease = EARLIER_LEASE }
     od
 }
 #endif
@@ -489,8 +511,8 @@
         do
         :: i < CALLS && calls[i].inFlight ->
             if
-            :: calls[i].late == 0 -> forget(i)
-            :: else -> calls[i].late--; COUNT_DOWN(calls[i].end); i++
+            :: calls[i].late == 0 && !STAYS_IN_FLIGHT -> forget(i)
+            :: else -> COUNT_DOWN(calls[i].late); COUNT_DOWN(calls[i].end); i++
             fi
         :: else -> break
         od;
--- a/test/RunLedgerTest.cpp
+++ b/test/RunLedgerTest.cpp
@@ -31,6 +31,7 @@
         }
 
         const std::string& id() const { return id_; }
+        int64_t bootTime() const { return bootTime_; }
         bool up(Instant now) const { return now >= upFrom_; }
         const std::map<TaskId, TaskOnWorker>& runs() const { return runs_; }
 
@@ -146,12 +147,19 @@
         std::map<TaskId, uint32_t> highestEnded_;
     };
 
+    // Which incarnation of a worker carries out a call, and how late.
+    struct Delivery {
+        bool bound = false; // to the incarnation that the call was meant for; else to any one that is up
+        Milliseconds latest { 0 };
+    };
+
     // Owners of a service, one after another, and workers that restart under their ids and are cut off. Calls are lost,
     // delayed or carried out late; owners are killed, or replaced while they go on. All by a seed.
     class OwnersAndWorkers {
     public:
-        explicit OwnersAndWorkers(uint64_t seed)
+        OwnersAndWorkers(uint64_t seed, Delivery delivery)
             : random_(seed)
+            , delivery_(delivery)
         {
             for (const char* id : { "w1", "w2", "w3" })
                 workers_.emplace_back(id, 1 - 0.02 * chance());
@@ -242,28 +250,35 @@
             ++takeovers;
         }
 
-        // Sends a call. It is lost, delayed, or carried out late without a response; a response may be lost, too.
-        void send(const Owner& sender, ProtocolWorker& worker, const std::function<void()>& execute,
-            const std::function<void(bool)>& respond)
+        enum class Outcome : uint8_t { Answered, NotAnswered, NotSent };
+
+        // Sends a call to the incarnation that has started at the time given, or to any one if it is 0. The call is
+        // lost, delayed, or carried out late without a response; a response may be lost, too.
+        void send(const Owner& sender, ProtocolWorker& worker, int64_t bootTime, const std::function<void()>& execute,
+            const std::function<void(Outcome)>& respond)
         {
+            auto reaches = [this, &worker, bootTime] {
+                return worker.up(now_.steady) && (!delivery_.bound || bootTime == 0 || bootTime == worker.bootTime());
+            };
             auto cutUntil = cutUntil_[worker.id()];
             if (const auto& zoneCut = zoneCuts_[worker.id()]; sender.generation >= zoneCut.firstOwner)
                 cutUntil = std::max(cutUntil, zoneCut.until);
             bool cut = cutUntil > now_.steady;
             bool answered = !cut && chance() < 0.9 && worker.up(now_.steady + Milliseconds { 1 });
             if (answered) {
-                after(Milliseconds { 1 }, [execute, respond] {
-                    execute();
-                    respond(true);
+                after(Milliseconds { 1 }, [reaches, execute, respond] {
+                    if (reaches())
+                        execute();
+                    respond(reaches() ? Outcome::Answered : Outcome::NotSent);
                 });
                 return;
             }
             if (chance() < 0.7 && (!cut || cutUntil - now_.steady > Milliseconds { 8000 }))
-                after(upTo(LeaseOptions {}.lateCallLimit), [this, &worker, execute] {
-                    if (worker.up(now_.steady))
+                after(upTo(delivery_.latest), [reaches, execute] {
+                    if (reaches())
                         execute();
                 });
-            after(callTimeout, [respond] { respond(false); });
+            after(callTimeout, [respond] { respond(Outcome::NotAnswered); });
         }
 
         void act(const std::shared_ptr<Owner>& self)
@@ -305,20 +320,21 @@
                 return;
             self->renewedAt[worker.id()] = now_.steady + renewalInterval;
             auto& lease = known->second.lease;
+            bool incarnationKnown = known->second.reported && !known->second.unresponsive && lease.hasClockSample();
             std::optional<Milliseconds> leaseEnd;
             if (known->second.mayExtendLease() && confirmed)
                 leaseEnd = lease.extend(now_.steady);
             SentCall call { now_.steady, lease.stage() };
             auto report = std::make_shared<std::optional<WorkerReport>>();
             send(
-                *self, worker,
+                *self, worker, incarnationKnown ? known->second.info.bootTime : 0,
                 [this, self, &worker, report, leaseEnd, call] {
                     *report = worker.renewLease(token(*self, call.stage), leaseEnd, 0, now_.steady);
                 },
-                [this, self, &worker, report, call](bool answered) {
+                [this, self, &worker, report, call](Outcome outcome) {
                     if (!self->alive)
                         return;
-                    if (answered && *report)
+                    if (outcome == Outcome::Answered && *report)
                         self->scheduler.onReport(worker.id(), **report, call, now_);
                     else
                         self->scheduler.markUnresponsive(worker.id());
@@ -331,21 +347,26 @@
                 return;
             ++startsSent;
             auto& worker = find(order.worker);
-            auto& lease = self->scheduler.workers().at(order.worker).lease;
+            auto& known = self->scheduler.workers().at(order.worker);
+            auto& lease = known.lease;
             SentCall call { now_.steady, lease.stage() };
             auto leaseEnd = lease.extend(now_.steady);
             auto result = std::make_shared<std::pair<StartRefusal, Milliseconds>>();
             send(
-                *self, worker,
+                *self, worker, known.info.bootTime,
                 [this, self, &worker, order, result, leaseEnd, call] {
                     *result
                         = { worker.start(token(*self, call.stage), leaseEnd, order.task, order.runNumber, now_.steady),
                               worker.clock(now_.steady) };
                 },
-                [this, self, order, result, call](bool answered) {
+                [this, self, order, result, call](Outcome outcome) {
                     if (!self->alive)
                         return;
-                    if (!answered) {
+                    if (outcome == Outcome::NotSent) {
+                        self->scheduler.onStartNotSent(order, now_);
+                        return;
+                    }
+                    if (outcome == Outcome::NotAnswered) {
                         self->scheduler.onNoStartResponse(order, now_);
                         return;
                     }
@@ -360,12 +381,12 @@
             auto stage = self->scheduler.workers().at(order.worker).lease.stage();
             auto stopped = std::make_shared<bool>(false);
             send(
-                *self, worker,
+                *self, worker, 0,
                 [self, &worker, order, stopped, stage] {
                     *stopped = worker.stop(token(*self, stage), order.task, order.runNumber);
                 },
-                [this, self, order, stopped](bool answered) {
-                    if (self->alive && answered && *stopped)
+                [this, self, order, stopped](Outcome outcome) {
+                    if (self->alive && outcome == Outcome::Answered && *stopped)
                         self->scheduler.onStopResponse(order, now_);
                 });
         }
@@ -441,6 +462,7 @@
         }
 
         std::mt19937_64 random_;
+        Delivery delivery_;
         Now now_ { Instant { Milliseconds { 1000000 } }, wallTimeFromUnix(Milliseconds { 1796384956000 }) };
         std::deque<ProtocolWorker> workers_;
         std::map<std::string, Instant> cutUntil_;
@@ -461,11 +483,22 @@
 class RunLedgerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(RunLedgerTest);
     CPPUNIT_TEST(noTaskRunsTwiceThroughRestartsCutsAndTakeovers);
+    CPPUNIT_TEST(noTaskRunsTwiceWhenOrdersAreCarriedOutLate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     // Guards against two simultaneous runs of a task on workers that start again under their ids and are cut off.
-    void noTaskRunsTwiceThroughRestartsCutsAndTakeovers()
+    void noTaskRunsTwiceThroughRestartsCutsAndTakeovers() { play({ false, LeaseOptions {}.lateCallLimit }); }
+
+    // Guards against two simultaneous runs of a task: a worker carried an order out later than its owner allowed for.
+    void noTaskRunsTwiceWhenOrdersAreCarriedOutLate()
+    {
+        static constexpr Milliseconds latestOrder { 12000 }; // of the disturbances of the users' platform
+        play({ true, latestOrder });
+    }
+
+private:
+    static void play(Delivery delivery)
     {
         static constexpr uint64_t seeds = 1500;
         size_t starts = 0;
@@ -473,7 +506,7 @@
         size_t takeovers = 0;
         for (uint64_t seed = 1; seed <= seeds; ++seed) {
             Section section(fmt::format("seed {}", seed));
-            OwnersAndWorkers world(seed);
+            OwnersAndWorkers world(seed, delivery);
             world.run(Milliseconds { 60000 });
             starts += world.startsSent;
             restarts += world.restarts;
--- a/test/WorkerSessionsTest.cpp
+++ b/test/WorkerSessionsTest.cpp
@@ -6,6 +6,7 @@
 #include "standin/WorkerStandIn.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <thread>
 
 namespace shallotdrift {
 
@@ -20,11 +21,7 @@
         SessionsHarness()
         {
             address = freeAddress(io);
-            server = std::make_unique<HttpServer>(io, deadlines, HttpServerOptions { address },
-                [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
-                    worker->handle(request, std::move(respond));
-                });
-            handleError([&] { return server->start(); }, [](const Error& error) { CPPUNIT_FAIL(error.message); });
+            listen();
             WorkerInfo info;
             info.id = workerId;
             info.address = address;
@@ -33,6 +30,27 @@
             scheduler.updateWorker(info, BootClock::now());
         }
 
+        void listen()
+        {
+            server = std::make_unique<HttpServer>(io, deadlines, HttpServerOptions { address },
+                [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
+                    worker->handle(request, std::move(respond));
+                });
+            handleError([&] { return server->start(); }, [](const Error& error) { CPPUNIT_FAIL(error.message); });
+        }
+
+        // Replaces the worker by a new incarnation, which listens at the same address. The owner has heard of nothing
+        // when this returns.
+        void restartWorker()
+        {
+            auto bootTime = worker->bootTime();
+            server.reset();
+            while (unixMilliseconds(wallNow()) <= bootTime)
+                std::this_thread::sleep_for(Milliseconds { 1 });
+            worker = std::make_unique<standin::WorkerStandIn>(workerId, 16000, statistics);
+            listen();
+        }
+
         // Runs the event loop until the condition holds.
         template <typename Condition> void runUntil(Condition&& condition)
         {
@@ -54,6 +72,13 @@
             step.taskResources = { 1000, 100, 0 };
             spec.steps = { step };
             scheduler.add(Job(id, "render", serviceName, std::move(spec), wallNow(), 2));
+            sendOrders();
+        }
+
+        void sendOrders()
+        {
+            for (const auto& order : scheduler.stopsDue(internal::currentTime()))
+                sessions.send(order);
             for (const auto& order : scheduler.plan(internal::currentTime()))
                 sessions.send(order);
         }
@@ -81,6 +106,7 @@
     CPPUNIT_TEST_SUITE(WorkerSessionsTest);
     CPPUNIT_TEST(acknowledgementsAreForOneIncarnation);
     CPPUNIT_TEST(callsForAFormerIncarnationAreRejected);
+    CPPUNIT_TEST(startsReachOnlyTheIncarnationThatTheOwnerKnows);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +174,28 @@
         CPPUNIT_ASSERT(status(0) == platform::LeaseRenewalStatus::Fenced);
         CPPUNIT_ASSERT(status(1) == platform::LeaseRenewalStatus::Ok);
     }
+
+    // Guards against two simultaneous runs of a task: a worker that had started again carried out a start for its
+    // former incarnation, later than its owner allowed for.
+    void startsReachOnlyTheIncarnationThatTheOwnerKnows()
+    {
+        SessionsHarness harness;
+        harness.runUntil([&] { return harness.scheduler.workers().at(workerId).reported; });
+        harness.restartWorker();
+        harness.startJob("000000000000000a", 3);
+        {
+            Section section("the new incarnation starts nothing before the owner knows it");
+            harness.runUntil(
+                [&] { return harness.scheduler.workers().at(workerId).info.bootTime == harness.worker->bootTime(); });
+            CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, harness.statistics.starts);
+        }
+        Section section("then it runs each task once");
+        harness.runUntil([&] {
+            harness.sendOrders();
+            return harness.completed("000000000000000a");
+        });
+        CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, harness.statistics.starts);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(WorkerSessionsTest);
