Report an instance as empty only once a next owner knows its cordon

Callers would see runs ended by a move: a former owner that is cut off from the store reported the instance as empty, while the next owner, which did not know of the cordon, placed runs there. Cause: cordons were only in the memory of the owner that the fleet manager had asked last. Change: the owner stores the cordons of its service and reports an instance as empty once they are stored; the next owner restores them for the time in which the former one's report may be used. An owner without a valid membership reports nothing. The fleet simulation of the tests stores records like an owner now. Evidence: ServiceSchedulerTest::cordonedInstancesAreEmptyOnceNextOwnersKnowTheCordon fails if a report does not wait for the record.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -9,6 +9,7 @@
     , options_(options)
     , takeoverAt_(now)
     , ledger_(service_, options_.lease, now)
+    , cordons_(service_)
 {
 }
 
@@ -128,18 +129,24 @@
 void ServiceScheduler::setCordons(
     const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue, Instant until)
 {
-    cordons_ = cordoned;
-    maintenanceDue_ = maintenanceDue;
-    cordonsUntil_ = until;
+    cordons_.set(cordoned, maintenanceDue, until);
     for (auto& [id, worker] : workers_)
         applyCordons(worker);
 }
 
 void ServiceScheduler::applyCordons(Worker& worker) const
 {
-    auto cordon = cordons_.find(worker.info.instance);
-    worker.cordoned = cordon != cordons_.end() && cordon->second != service_;
-    worker.maintenanceDue = maintenanceDue_.count(worker.info.instance) != 0;
+    worker.cordoned = cordons_.appliesTo(worker.info.instance);
+    worker.maintenanceDue = cordons_.isMaintenanceDue(worker.info.instance);
+}
+
+std::set<std::string> ServiceScheduler::cordonedInstances() const
+{
+    std::set<std::string> instances;
+    for (const auto& [id, worker] : workers_)
+        if (worker.cordoned && (worker.registered || !worker.runs.empty()))
+            instances.insert(worker.info.instance);
+    return instances;
 }
 
 void ServiceScheduler::assign(Worker& worker, const TaskId& id, JobTask& task, const StepSpec& step, uint32_t runNumber)
@@ -567,8 +574,9 @@
 
 std::vector<ServiceScheduler::ExpiredRun> ServiceScheduler::expireLeases(const Now& now)
 {
-    if (!cordons_.empty() && now.steady > cordonsUntil_)
-        setCordons({}, {}, now.steady); // the manager that set them is gone
+    if (cordons_.expire(now.steady))
+        for (auto& [id, worker] : workers_)
+            applyCordons(worker);
     std::vector<std::string> removed;
     std::vector<ExpiredRun> expired;
     for (auto& [id, worker] : workers_) {
@@ -596,11 +604,17 @@
 
 // Records
 
-void ServiceScheduler::onRecordsStored() { ledger_.onRecordsStored(workers_); }
+void ServiceScheduler::onRecordsStored()
+{
+    ledger_.onRecordsStored(workers_);
+    cordons_.onRecordStored();
+}
 
 std::vector<StateRecord> ServiceScheduler::takeChangedRecords(const Now& now)
 {
     auto records = ledger_.takeChangedRecords(workers_, now.steady);
+    if (auto cordoned = cordons_.takeChangedRecord(cordonedInstances()))
+        records.push_back(std::move(*cordoned));
     std::vector<std::string> endedJobs;
     for (auto& [id, job] : jobs_) {
         if (!job.dirty && (job.active() || job.hasRuns()))
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Cordons.h"
 #include "JobRecords.h"
 #include "PlacementHolds.h"
 #include "RunLedger.h"
@@ -96,6 +97,8 @@
     // cordoned instance is mapped to the service that it is moving to, which may already use it, or to an empty string.
     void setCordons(
         const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue, Instant until);
+    Cordons& cordons() { return cordons_; }
+    const Cordons& cordons() const { return cordons_; }
     std::map<std::string, Worker>& workers() { return workers_; }
     const std::map<std::string, Worker>& workers() const { return workers_; }
     // Applies a worker's report, the response to the call given. The next stopsDue() includes reported runs that should
@@ -197,6 +200,7 @@
     void endRun(const std::string& worker, const TaskId&, uint32_t runNumber, RunOutcome, const std::string& checkpoint,
         const Now&);
     void applyCordons(Worker&) const;
+    std::set<std::string> cordonedInstances() const;
     void stopNewestRuns(Job&, const TaskId&);
     void completeTask(Job&, const TaskId&, const Now&);
     void recordFailure(Job&, const TaskId&, JobTask&, uint32_t runNumber, const Now&);
@@ -247,9 +251,7 @@
     PlacementHolds holds_;
     std::vector<PackedStep> unplaced_; // long-running tasks that the last plan() could neither place nor hold room for
     std::vector<StopOrder> staleRuns_; // stops of runs reported beside a newer run of the same task on the same worker
-    std::map<std::string, std::string> cordons_; // instance -> service that it is moving to
-    std::set<std::string> maintenanceDue_; // instances
-    Instant cordonsUntil_ {};
+    Cordons cordons_;
     bool hasUncertainStarts_ = false; // there may be starts without a response, which have to be sent again
     Instant healthCheckedAt_ {};
 };
--- a/shallotdrift/src/Node/FleetProtocol.cpp
+++ b/shallotdrift/src/Node/FleetProtocol.cpp
@@ -7,9 +7,6 @@
 
 using nlohmann::json;
 
-// Cordons expire when they are not renewed for this time, so that they don't outlive their manager.
-static constexpr Milliseconds cordonLifetime { 2000 };
-
 std::string encodeCordons(
     const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue)
 {
@@ -38,17 +35,18 @@
 }
 
 // Adds a worker to the load of its instance. An instance that has just restarted may have two workers, because that of
-// the earlier incarnation is still known. The instance counts as cordoned only if all its workers are cordoned.
-static void addLoad(PoolReport::WorkerLoad& load, const Worker& worker, const PlacementHolds& holds)
+// the earlier incarnation is still known. The instance counts as cordoned only if all its workers are cordoned, and
+// only once this is stored: otherwise a next owner could already have placed runs there.
+static void addLoad(PoolReport::WorkerLoad& load, const Worker& worker, const ServiceScheduler& scheduler)
 {
     bool first = load.instance.empty();
     load.instance = worker.info.instance;
     load.runs += static_cast<uint32_t>(worker.runs.size());
     // A worker on which long-running tasks hold room is no more available for a move than one that runs them.
-    load.longRunningRuns += static_cast<uint32_t>(holds.countOn(worker.info.id)
+    load.longRunningRuns += static_cast<uint32_t>(scheduler.holds().countOn(worker.info.id)
         + static_cast<size_t>(std::count_if(
             worker.runs.begin(), worker.runs.end(), [](const auto& entry) { return entry.second.longRunning; })));
-    load.cordoned = worker.cordoned && (first || load.cordoned);
+    load.cordoned = worker.cordoned && scheduler.cordons().isStored(worker.info.instance) && (first || load.cordoned);
     load.draining = load.draining || worker.info.draining;
 }
 
@@ -68,7 +66,7 @@
     std::map<std::string, PoolReport::WorkerLoad> loads;
     for (const auto& [id, worker] : scheduler.workers())
         if (!worker.info.instance.empty() && (worker.registered || !worker.runs.empty()))
-            addLoad(loads[worker.info.instance], worker, scheduler.holds());
+            addLoad(loads[worker.info.instance], worker, scheduler);
     for (auto& [instance, load] : loads)
         report.workers.push_back(std::move(load));
     return report;
@@ -85,8 +83,8 @@
         report.requiredMemory, report.overdueCores });
 }
 
-std::string applyCordons(
-    std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned, const Now& now)
+std::string applyCordons(std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned,
+    bool ownershipConfirmed, const Now& now)
 {
     auto message = json::parse(body, nullptr, false);
     if (!message.is_array() || message.size() != 2 || !message[0].is_object())
@@ -98,8 +96,9 @@
         if (!partition->active())
             continue;
         for (auto& [name, service] : partition->services()) {
-            service->scheduler.setCordons(cordons, maintenanceDue, now.steady + cordonLifetime);
-            pools.push_back(encodePoolReport(makePoolReport(service->scheduler, now)));
+            service->scheduler.setCordons(cordons, maintenanceDue, now.steady + Cordons::lifetime);
+            if (ownershipConfirmed)
+                pools.push_back(encodePoolReport(makePoolReport(service->scheduler, now)));
         }
         partition->runSchedulingCycle(); // new cordons may require evictions
     }
--- a/shallotdrift/src/Node/FleetProtocol.h
+++ b/shallotdrift/src/Node/FleetProtocol.h
@@ -16,9 +16,10 @@
 std::string encodeCordons(
     const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue);
 // Applies the cordons to the services of this entry instance's partitions and returns the encoded reports on their
-// pools. If the body is unreadable, changes nothing and returns an empty encoded list.
-std::string applyCordons(
-    std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned, const Now&);
+// pools. If the body is unreadable, changes nothing and returns an empty encoded list. Reports nothing while the
+// ownership is not confirmed: the next owner could have placed runs on instances that are empty here.
+std::string applyCordons(std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned,
+    bool ownershipConfirmed, const Now&);
 // The strings of a JSON list; other items are left out.
 std::set<std::string> parseStringSet(const nlohmann::json& list);
 PoolReport makePoolReport(const ServiceScheduler&, const Now&);
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -179,7 +179,8 @@
 
         std::string applyCordonsLocally(const std::string& cordons)
         {
-            return applyCordons(cordons, owned_, currentTime());
+            auto now = currentTime();
+            return applyCordons(cordons, owned_, context_.membershipLease.valid(now.steady), now);
         }
 
         void handlePeer(HttpMessage&& request, HttpServer::ResponseCallback respond)
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -119,6 +119,10 @@
     for (auto& [name, entry] : services_) {
         auto& ledger = entry->scheduler.ledger();
         ledger.restore(recordOf(ledger.key()), recordOf(ledger.formerKey()), BootClock::now());
+        // The former owner may report an instance as empty until its membership expires.
+        auto& cordons = entry->scheduler.cordons();
+        cordons.restore(
+            recordOf(cordons.key()), BootClock::now() + context_.settings.membershipTimeout + Cordons::lifetime);
         entry->scheduler.finishRestore(currentTime());
     }
     active_ = true;
--- a/test/FleetSimulation.h
+++ b/test/FleetSimulation.h
@@ -264,6 +264,7 @@
         scheduler.expireLeases(now);
         auto orders = scheduler.plan(now);
         scheduler.takeChangedRecords(now);
+        scheduler.onRecordsStored();
         for (const auto& order : orders) {
             if (!scheduler.beginStart(order, now))
                 continue;
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -1,6 +1,7 @@
 #include "Section.h"
 
 #include "shallotdrift/Jobs.h"
+#include "shallotdrift/src/Node/FleetProtocol.h"
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -172,6 +173,7 @@
         {
             reset();
             scheduler->ledger().restore(store[scheduler->ledger().key()], {}, now.steady);
+            scheduler->cordons().restore(store[scheduler->cordons().key()], now.steady + Milliseconds { 4000 });
             std::map<std::string, std::pair<std::string, Job::StateParts>> jobs; // id -> specification, state
             for (const auto& [key, value] : store) {
                 if (value.empty() || key.find('/') != std::string::npos)
@@ -231,6 +233,7 @@
     CPPUNIT_TEST(runsOfCompletedGangsAreStoppedAfterARestart);
     CPPUNIT_TEST(failuresCountAfterTheLeaseOfTheirWorkerHasExpired);
     CPPUNIT_TEST(cordonsExemptTheNewServiceOfAnInstance);
+    CPPUNIT_TEST(cordonedInstancesAreEmptyOnceNextOwnersKnowTheCordon);
     CPPUNIT_TEST(dueOccurrencesAreOpenedWithinALimit);
     CPPUNIT_TEST(failuresOfSupersededRunsCount);
     CPPUNIT_TEST(failuresAreCountedOnceAroundAHandOver);
@@ -1285,6 +1288,35 @@
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.plan().size());
     }
 
+    // Guards against a move that ends runs: a former owner reported the instance as empty while the next owner, which
+    // did not know of the cordon, placed runs there.
+    void cordonedInstancesAreEmptyOnceNextOwnersKnowTheCordon()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        harness.scheduler->setCordons({ { "m-w1", "elsewhere" } }, {}, harness.now.steady + Cordons::lifetime);
+        auto reportedAsCordoned
+            = [&] { return internal::makePoolReport(*harness.scheduler, harness.now).workers.at(0).cordoned; };
+        {
+            Section section("the cordon is reported when it is stored");
+            CPPUNIT_ASSERT(!reportedAsCordoned());
+            harness.send();
+            CPPUNIT_ASSERT(reportedAsCordoned());
+        }
+        {
+            Section section("the next owner places nothing on the instance");
+            harness.failOver();
+            harness.addWorker("w1");
+            harness.add("a", { makeStep(1, 1000) });
+            CPPUNIT_ASSERT(harness.plan().empty());
+        }
+        Section section("until the former owner's report is too old for an order");
+        harness.advance(Milliseconds { 4001 });
+        harness.scheduler->expireLeases(harness.now);
+        harness.report("w1");
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.plan().size());
+    }
+
     // Guards against a single job that exhausts the memory of its owner, and of each next one: 100,000 occurrences
     // that are all due at once were opened together.
     void dueOccurrencesAreOpenedWithinALimit()
