Repeat orders for instances until there is a response

Callers would see runs ended by a move that took effect late, and more instances in maintenance than a wave allows. Cause: an order without a response was dropped when the demand turned, when its instance was not empty in time, or with its manager; its cordon ended and its wave no longer counted it, while the platform carries calls out up to 12 s late. Change: such an order stays planned, and its instance cordoned, until there is a response. Open orders are stored before they are sent, and the next manager repeats them under its own token. An order is withheld if the latest report no longer shows its instance as empty when the record has been stored. Evidence: InstancePlannerTest::cordonsOutlastOrdersWithoutAResponse and nextManagersSettleOrdersWithoutAResponse fail without the respective part of the change.

--- a/shallotdrift/src/Instances/InstancePlanner.cpp
+++ b/shallotdrift/src/Instances/InstancePlanner.cpp
@@ -244,7 +244,7 @@
         auto configuration = pools_.find(instance->second.pool);
         auto standby = standbyPool(instance->second);
         if (configuration != pools_.end() && !configuration->second.standby && !standby.empty())
-            plannedOrders_[id] = { { InstanceOrder::Type::Move, id, standby, 0 }, now, std::nullopt };
+            plannedOrders_[id] = { { InstanceOrder::Type::Move, id, standby, 0 }, now };
     }
 }
 
@@ -264,8 +264,11 @@
                     && instance->second.pool == planned.order.pool);
         }
         // The instance has not become empty in time, and its pool may need it again.
-        else if (isMove && now - planned.plannedAt > options_.emptyingTimeout)
+        else if (isMove && !planned.unanswered && now - planned.plannedAt > options_.emptyingTimeout)
             expired = true;
+        else if (isMove && planned.unanswered && instance != instances_.end())
+            expired = expired
+                || (instance->second.state == FleetInstance::State::Up && instance->second.pool == planned.order.pool);
         item = expired ? plannedOrders_.erase(item) : std::next(item);
     }
 }
@@ -286,7 +289,7 @@
         if (planned.orderedAt && planned.order.type == InstanceOrder::Type::Maintain)
             ++maintenanceOrders[planned.order.wave];
     for (auto& [id, planned] : plannedOrders_) {
-        if (planned.orderedAt || orders.size() >= options_.maximumOrdersPerPlan
+        if (planned.orderedAt || now < planned.retryAt || orders.size() >= options_.maximumOrdersPerPlan
             || !isEmptySinceCordon(instances_.at(id), planned.plannedAt, now))
             continue;
         if (auto cooldown = cooldowns_.find(id); cooldown != cooldowns_.end() && now < cooldown->second)
@@ -295,11 +298,38 @@
             && ++maintenanceOrders[planned.order.wave] > waves_[planned.order.wave].request.maximumParallel)
             continue;
         planned.orderedAt = now;
+        planned.confirmed = false;
         orders.push_back(planned.order);
     }
     return orders;
 }
 
+bool InstancePlanner::maySend(const InstanceOrder& order, Instant now) const
+{
+    auto planned = plannedOrders_.find(order.instance);
+    auto instance = instances_.find(order.instance);
+    return planned != plannedOrders_.end() && instance != instances_.end()
+        && isEmptySinceCordon(instance->second, planned->second.plannedAt, now);
+}
+
+std::vector<InstanceOrder> InstancePlanner::openOrders() const
+{
+    std::vector<InstanceOrder> orders;
+    for (const auto& [id, planned] : plannedOrders_)
+        if (planned.unanswered || (planned.orderedAt && !planned.confirmed))
+            orders.push_back(planned.order);
+    return orders;
+}
+
+void InstancePlanner::restoreOpenOrder(const InstanceOrder& order, Instant now)
+{
+    PlannedOrder planned;
+    planned.order = order;
+    planned.plannedAt = now;
+    planned.unanswered = true;
+    plannedOrders_[order.instance] = std::move(planned);
+}
+
 void InstancePlanner::onOrderResult(const InstanceOrder& order, Outcome outcome, Instant now)
 {
     auto found = plannedOrders_.find(order.instance);
@@ -312,8 +342,11 @@
             instance->second.state = FleetInstance::State::Moving; // until the next listing shows it
             instance->second.pool = order.pool;
         }
-        if (found != plannedOrders_.end())
+        if (found != plannedOrders_.end()) {
             found->second.orderedAt = now;
+            found->second.unanswered = false;
+            found->second.confirmed = true;
+        }
         return;
     case Outcome::Impossible:
         if (order.type == InstanceOrder::Type::Move && instance != instances_.end())
@@ -322,12 +355,19 @@
             cooldowns_[order.instance] = now + options_.orderTimeout;
         [[fallthrough]];
     case Outcome::Busy:
-        if (found != plannedOrders_.end())
+        if (found != plannedOrders_.end() && outcome == Outcome::Busy && found->second.unanswered) {
+            found->second.orderedAt.reset();
+            found->second.retryAt = now + options_.orderRetryInterval;
+        } else if (found != plannedOrders_.end())
             plannedOrders_.erase(found);
         return;
     case Outcome::Unknown:
-        if (found != plannedOrders_.end())
-            found->second.orderedAt.reset(); // sent again; if the order has taken effect, the platform confirms it
+    case Outcome::NotSent:
+        if (found != plannedOrders_.end()) {
+            // Sent again; if the order has taken effect, the platform confirms it.
+            found->second.orderedAt.reset();
+            found->second.unanswered = found->second.unanswered || outcome == Outcome::Unknown;
+        }
         return;
     }
 }
@@ -384,7 +424,7 @@
             bool urgent = timeLeft <= options_.waveUrgentTime;
             if (!urgent && !maySpareForWave(instance.pool, ofPool, load > 0))
                 continue;
-            plannedOrders_[id] = { { InstanceOrder::Type::Maintain, id, {}, number }, now, std::nullopt };
+            plannedOrders_[id] = { { InstanceOrder::Type::Maintain, id, {}, number }, now };
             ++inMaintenance;
             ++ofPool;
         }
@@ -515,8 +555,9 @@
     auto& pool = poolStates_.at(name);
     for (auto item = plannedOrders_.begin(); item != plannedOrders_.end() && pool.size < pool.desiredSize;) {
         auto instance = instances_.find(item->first);
-        bool cancellable = !item->second.orderedAt && item->second.order.type == InstanceOrder::Type::Move
-            && instance != instances_.end() && instance->second.pool == name && outOfService_.count(item->first) == 0;
+        bool cancellable = !item->second.orderedAt && !item->second.unanswered
+            && item->second.order.type == InstanceOrder::Type::Move && instance != instances_.end()
+            && instance->second.pool == name && outOfService_.count(item->first) == 0;
         if (cancellable) {
             auto newPool = poolStates_.find(item->second.order.pool);
             if (newPool != poolStates_.end() && newPool->second.size > 0)
@@ -546,7 +587,7 @@
                 continue;
             --from.size;
         }
-        plannedOrders_[id] = { { InstanceOrder::Type::Move, id, name, 0 }, now, std::nullopt };
+        plannedOrders_[id] = { { InstanceOrder::Type::Move, id, name, 0 }, now };
         ++pool.size;
     }
 }
@@ -584,7 +625,7 @@
             const auto* id = leastLoadedInstance(fromName, name, now);
             if (!id)
                 break;
-            plannedOrders_[*id] = { { InstanceOrder::Type::Move, *id, name, 0 }, now, std::nullopt };
+            plannedOrders_[*id] = { { InstanceOrder::Type::Move, *id, name, 0 }, now };
             --from.size;
             ++pool.size;
         }
@@ -614,7 +655,7 @@
             auto standby = id ? standbyPool(instances_.at(*id)) : std::string();
             if (standby.empty())
                 break;
-            plannedOrders_[*id] = { { InstanceOrder::Type::Move, *id, standby, 0 }, now, std::nullopt };
+            plannedOrders_[*id] = { { InstanceOrder::Type::Move, *id, standby, 0 }, now };
             --pool.size;
         }
     }
--- a/shallotdrift/src/Instances/InstancePlanner.h
+++ b/shallotdrift/src/Instances/InstancePlanner.h
@@ -87,6 +87,7 @@
     Milliseconds waveUrgentTime { 6000 }; // before the deadline of a wave; from then on its limits in a pool are lifted
     Milliseconds waveCycleTime { 5000 }; // to empty and to maintain an instance that has long-running tasks
     size_t maximumOrdersPerPlan = 24; // limit of orders from one plan()
+    Milliseconds orderRetryInterval { 500 }; // after a rejection that leaves an earlier order open
 };
 
 struct InstanceOrder {
@@ -124,9 +125,18 @@
         Ok,
         Busy, // rejected for now; the order is dropped and planned again
         Impossible, // rejected: not possible for this instance type and pool, or not part of the wave
-        Unknown // no response; the order may have taken effect
+        Unknown, // no response; the order may have taken effect, or may still do so
+        NotSent
     };
     void onOrderResult(const InstanceOrder&, Outcome, Instant now);
+    // Whether the instance of an order from plan() is still empty, by the latest report. To be checked right before the
+    // order is sent.
+    bool maySend(const InstanceOrder&, Instant now) const;
+    // Orders that were returned by plan() and have got no response. Their instances stay cordoned, and the orders are
+    // repeated until there is a response.
+    std::vector<InstanceOrder> openOrders() const;
+    // Restores such an order of a previous manager.
+    void restoreOpenOrder(const InstanceOrder&, Instant now);
 
     // Maps each instance that gets no new runs to the pool that is exempt from this, or to an empty string if none is.
     // The pool that an instance is moving to is exempt, so that it may use the instance as soon as the worker is up.
@@ -163,7 +173,10 @@
     struct PlannedOrder {
         InstanceOrder order;
         Instant plannedAt {};
-        std::optional<Instant> orderedAt;
+        std::optional<Instant> orderedAt {};
+        bool unanswered = false; // an order that was sent got no response, so it may still take effect
+        bool confirmed = false; // the response to the last order says that it has taken effect
+        Instant retryAt {}; // not sent again before
     };
     struct Pool {
         PoolReport report;
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -17,6 +17,9 @@
 static constexpr Milliseconds clockSkewMargin { 300 };
 // Key of the record that maps each instance with a recent order (move or maintenance) to the time of its last order.
 static constexpr char recentOrdersKey[] = "orders/recent";
+// Key of the record that maps each instance with an order that has got no response to the order: [pool, wave].
+static constexpr char openOrdersKey[] = "orders/open";
+static constexpr Milliseconds openOrdersInterval { 500 }; // between two records that only remove orders
 static constexpr Milliseconds poolLogInterval { 500 };
 // Time until the list of instances shows that a maintenance has ended.
 static constexpr Milliseconds maintenanceListingDelay { 300 };
@@ -92,6 +95,8 @@
     if (record.key == recentOrdersKey && recentOrders_.restore(record.value)) {
         for (const auto& [instance, at] : recentOrders_.byInstance())
             planner_.setCooldown(instance, BootClock::now() + orderCooldown() - (wallNow() - at));
+    } else if (record.key == openOrdersKey) {
+        restoreOpenOrders(value);
     } else if (record.key.rfind(waveKeyPrefix, 0) == 0 && value.is_array()) {
         auto number = parseNumber(record.key.substr(std::string_view(waveKeyPrefix).size()), UINT64_MAX);
         if (number)
@@ -259,7 +264,13 @@
     // since. Where the platform does not check fencing tokens, the order would follow those of the next manager.
     if (!context_.membershipLease.valid(BootClock::now())) {
         logger("fleet")->warn("instance={} event=order_withheld reason=membership_expired", order.instance);
-        planner_.onOrderResult(order, InstancePlanner::Outcome::Unknown, BootClock::now());
+        planner_.onOrderResult(order, InstancePlanner::Outcome::NotSent, BootClock::now());
+        return;
+    }
+    // The append may have taken long, and the cordon may have ended meanwhile.
+    if (!planner_.maySend(order, BootClock::now())) {
+        logger("fleet")->info("instance={} event=order_withheld reason=not_empty", order.instance);
+        planner_.onOrderResult(order, InstancePlanner::Outcome::NotSent, BootClock::now());
         return;
     }
     platform::FencingTokenHolder holder { membership_.memberId(), fencingToken_ };
@@ -317,10 +328,45 @@
     return records;
 }
 
+// A next manager has to repeat the orders that have got no response: until one is answered, the instance may be taken
+// away, and counts as in maintenance.
+void FleetManager::addOpenOrders(std::vector<StateRecord>& records, bool newOrders)
+{
+    auto open = nlohmann::json::object();
+    for (const auto& order : planner_.openOrders())
+        open[order.instance] = nlohmann::json::array({ order.pool, order.wave });
+    auto record = open.empty() ? std::string() : open.dump();
+    auto now = BootClock::now();
+    if (record == openOrdersRecord_ || (!newOrders && now - openOrdersWrittenAt_ < openOrdersInterval))
+        return;
+    openOrdersRecord_ = record;
+    openOrdersWrittenAt_ = now;
+    records.push_back({ openOrdersKey, std::move(record) });
+}
+
+void FleetManager::restoreOpenOrders(const nlohmann::json& record)
+{
+    if (!record.is_object())
+        return;
+    for (const auto& [instance, entry] : record.items()) {
+        if (!entry.is_array() || entry.size() != 2 || !entry[0].is_string() || !entry[1].is_number_unsigned())
+            continue;
+        InstanceOrder order;
+        order.instance = instance;
+        order.pool = entry[0].get<std::string>();
+        order.wave = entry[1].get<uint64_t>();
+        order.type = order.pool.empty() ? InstanceOrder::Type::Maintain : InstanceOrder::Type::Move;
+        logger("fleet")->info("instance={} event=order_inherited pool={} wave={}", instance, order.pool, order.wave);
+        planner_.restoreOpenOrder(order, BootClock::now());
+    }
+    openOrdersRecord_ = record.dump();
+}
+
 // Stores which instances the orders are for before sending the orders, since a new manager has to observe the cooldown.
 void FleetManager::storeAndSendOrders(const std::vector<InstanceOrder>& orders)
 {
     auto records = takeChangedRecords();
+    addOpenOrders(records, !orders.empty());
     if (!orders.empty()) {
         auto now = wallNow();
         for (const auto& order : orders)
--- a/shallotdrift/src/Node/FleetManager.h
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -8,6 +8,8 @@
 #include "RecentOrders.h"
 #include "RecordReader.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace shallotdrift::internal {
 
 // Moves instances between pools, runs their maintenance and handles operators' calls. Only the owner of the fleet's
@@ -45,6 +47,8 @@
     void storeAndSendOrders(const std::vector<InstanceOrder>&);
     void applyOverrides();
     std::vector<StateRecord> takeChangedRecords();
+    void addOpenOrders(std::vector<StateRecord>&, bool newOrders);
+    void restoreOpenOrders(const nlohmann::json& record);
     Milliseconds orderCooldown() const;
     void restoreRecord(const platform::KeyedRecord&);
     void publishWaveStatus();
@@ -68,6 +72,8 @@
     std::vector<FleetInstance> listing_; // instances of the pages read so far
     std::set<uint64_t> unstoredWaves_; // waves with maintained instances that are not stored yet
     RecentOrders recentOrders_;
+    std::string openOrdersRecord_; // as last written
+    Instant openOrdersWrittenAt_ {};
     std::vector<std::pair<uint64_t, bool>> pendingWaveStatuses_; // {wave number, whether completed}, published in order
     bool waveStatusInFlight_ = false;
     bool instancesKnown_ = false;
--- a/test/InstancePlannerTest.cpp
+++ b/test/InstancePlannerTest.cpp
@@ -10,6 +10,9 @@
     CPPUNIT_TEST(poolSizesFollowDemand);
     CPPUNIT_TEST(busyInstancesAreNotMoved);
     CPPUNIT_TEST(reportsFromBeforeTheCordonAreIgnored);
+    CPPUNIT_TEST(cordonsOutlastOrdersWithoutAResponse);
+    CPPUNIT_TEST(nextManagersSettleOrdersWithoutAResponse);
+    CPPUNIT_TEST(ordersAreWithheldWithoutAFreshReport);
     CPPUNIT_TEST(scarceInstancesAreShared);
     CPPUNIT_TEST(overdueJobsGetWhatOthersLeave);
     CPPUNIT_TEST(loansComeBeforeOverdueJobs);
@@ -132,6 +135,78 @@
         CPPUNIT_ASSERT(!harness.planner.plan(harness.now).empty());
     }
 
+    // Guards against a move that ends runs: it got no response and was cancelled, so the instance was used again, and
+    // then the move took effect.
+    void cordonsOutlastOrdersWithoutAResponse()
+    {
+        using Outcome = InstancePlanner::Outcome;
+        FleetHarness harness(0);
+        harness.required["ledgers"] = 200;
+        std::vector<InstanceOrder> orders;
+        while (orders.empty())
+            orders = harness.step(false);
+        auto order = orders.front();
+        harness.planner.onOrderResult(order, Outcome::Unknown, harness.now);
+        harness.required = { { "checks", 200 }, { "ledgers", 1 } };
+        for (int i = 0; i < 120; ++i) {
+            for (const auto& repeated : harness.step(false))
+                harness.planner.onOrderResult(
+                    repeated, repeated.instance == order.instance ? Outcome::Unknown : Outcome::Busy, harness.now);
+            CPPUNIT_ASSERT(harness.planner.cordons().count(order.instance) != 0);
+        }
+        Section section("the order is settled when the instance is seen in its new pool");
+        harness.find(order.instance).pool = order.pool;
+        harness.run(1);
+        for (const auto& open : harness.planner.openOrders())
+            CPPUNIT_ASSERT(open.instance != order.instance);
+    }
+
+    // Guards against more instances in maintenance than a wave allows: a manager was lost after an order without a
+    // response, and the order took effect after the next manager had ordered the maintenance of another instance.
+    void nextManagersSettleOrdersWithoutAResponse()
+    {
+        MaintenanceWave wave { 7, { "c0", "c1" }, 1, {} };
+        FleetHarness former;
+        wave.deadline = former.now + Milliseconds { 60000 };
+        former.planner.addWave(wave);
+        std::vector<InstanceOrder> orders;
+        while (orders.empty())
+            orders = former.step(false);
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, orders.size());
+        auto open = former.planner.openOrders();
+        CPPUNIT_ASSERT_EQUAL(size_t { 1 }, open.size());
+        FleetHarness next;
+        for (const auto& order : open)
+            next.planner.restoreOpenOrder(order, next.now);
+        next.planner.addWave(wave);
+        next.runs[orders.front().instance] = 1; // placed after the cordons of the former manager had ended
+        for (int i = 0; i < 30; ++i)
+            for (const auto& order : next.step(false)) {
+                CPPUNIT_ASSERT_EQUAL(orders.front().instance, order.instance);
+                next.planner.onOrderResult(order, InstancePlanner::Outcome::Unknown, next.now);
+            }
+        Section section("the wave goes on when there is a response");
+        next.runs.clear();
+        next.run(60);
+        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, next.planner.maintainedInstances(7).size());
+        CPPUNIT_ASSERT(next.planner.openOrders().empty());
+    }
+
+    // Guards against a move on the ground of a report that was too old when the order had been stored.
+    void ordersAreWithheldWithoutAFreshReport()
+    {
+        FleetHarness harness(0);
+        harness.required["ledgers"] = 200;
+        std::vector<InstanceOrder> orders;
+        while (orders.empty())
+            orders = harness.step(false);
+        auto order = orders.front();
+        CPPUNIT_ASSERT(harness.planner.maySend(order, harness.now));
+        CPPUNIT_ASSERT(!harness.planner.maySend(order, harness.now + PlannerOptions {}.maximumReportAge));
+        harness.planner.onOrderResult(order, InstancePlanner::Outcome::NotSent, harness.now);
+        CPPUNIT_ASSERT(harness.planner.openOrders().size() < orders.size());
+    }
+
     // Guards against a pool that keeps all instances because its demand rose first.
     void scarceInstancesAreShared()
     {
