--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -16,7 +16,10 @@
 
 entry_port() { echo $((port + 100 + 10 * $1)); }
 
-# start_entry N [LINE ...]: starts entry N; the lines are appended to its settings. Sets entryN to its process id.
+entry_binary=build/shallotdrift
+
+# start_entry N [LINE ...]: starts entry N with $entry_binary; the lines are appended to its settings. Sets entryN to its
+# process id.
 start_entry() {
   first_port=$(entry_port "$1")
   cat >"$directory/entry$1.ini" <<INI
@@ -35,7 +38,7 @@
   number=$1
   shift
   for line in "$@"; do echo "$line" >>"$directory/entry$number.ini"; done
-  build/shallotdrift node --settings="$directory/entry$number.ini" >>"$directory/entry$number.log" 2>&1 &
+  "$entry_binary" node --settings="$directory/entry$number.ini" >>"$directory/entry$number.log" 2>&1 &
   eval "entry$number=$!"
   process_ids="$process_ids $!"
 }
