Ignore the cordons of a fleet manager that has been replaced

Callers would see runs ended by a move: a manager that did not know yet that it had been replaced ended the cordon of its successor, and runs were placed on the instance between its report and its move. Cause: owners took the cordons of any manager, the last one to ask. Change: a manager sends its fencing token with its cordons, as a value that owners of the version before skip. Owners ignore cordons with a lower token than one they have seen, and store the token with their cordons. Managers of the version before send no token and are accepted. Evidence: ServiceSchedulerTest::formerManagersEndNoCordons fails if the token is not compared.

--- a/shallotdrift/src/Jobs/Cordons.h
+++ b/shallotdrift/src/Jobs/Cordons.h
@@ -20,8 +20,11 @@
 
     explicit Cordons(const std::string& service);
 
-    // Each instance is mapped to the service that it is moving to, which may already use it, or to an empty string.
-    void set(std::map<std::string, std::string> cordoned, std::set<std::string> maintenanceDue, Instant until);
+    // Replaces the cordons. Each instance is mapped to the service that it is moving to, which may already use it, or
+    // to an empty string. False, without effect, if a manager with a higher fencing token has set cordons before;
+    // managers of earlier versions have the token 0, which is always accepted.
+    bool set(std::map<std::string, std::string> cordoned, std::set<std::string> maintenanceDue, Instant until,
+        uint64_t managerToken = 0);
     // Ends cordons that were not renewed. Returns true if there were any.
     bool expire(Instant now);
     bool appliesTo(const std::string& instance) const;
@@ -43,6 +46,7 @@
     std::map<std::string, std::string> cordoned_;
     std::set<std::string> maintenanceDue_;
     Instant until_ {};
+    uint64_t managerToken_ = 0; // the highest one
     std::set<std::string> written_;
     std::set<std::string> stored_;
 };
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -126,12 +126,14 @@
         found->second.registered = false;
 }
 
-void ServiceScheduler::setCordons(
-    const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue, Instant until)
+bool ServiceScheduler::setCordons(const std::map<std::string, std::string>& cordoned,
+    const std::set<std::string>& maintenanceDue, Instant until, uint64_t managerToken)
 {
-    cordons_.set(cordoned, maintenanceDue, until);
+    if (!cordons_.set(cordoned, maintenanceDue, until, managerToken))
+        return false;
     for (auto& [id, worker] : workers_)
         applyCordons(worker);
+    return true;
 }
 
 void ServiceScheduler::applyCordons(Worker& worker) const
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -95,8 +95,9 @@
     void unregisterWorker(const std::string& id);
     // Sets the instances that get no new runs and those that are due for maintenance, valid until the time given. Each
     // cordoned instance is mapped to the service that it is moving to, which may already use it, or to an empty string.
-    void setCordons(
-        const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue, Instant until);
+    // False if the manager with this fencing token has been replaced; see Cordons::set().
+    bool setCordons(const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue,
+        Instant until, uint64_t managerToken = 0);
     Cordons& cordons() { return cordons_; }
     const Cordons& cordons() const { return cordons_; }
     std::map<std::string, Worker>& workers() { return workers_; }
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -168,7 +168,7 @@
 void FleetManager::exchangeWithOwners()
 {
     auto sentAt = BootClock::now();
-    auto cordons = encodeCordons(planner_.cordons(), planner_.maintenanceDue());
+    auto cordons = encodeCordons(planner_.cordons(), planner_.maintenanceDue(), fencingToken_);
     std::set<std::string> addresses;
     bool includesThisInstance = false;
     if (context_.configuration)
--- a/shallotdrift/src/Node/FleetProtocol.cpp
+++ b/shallotdrift/src/Node/FleetProtocol.cpp
@@ -7,10 +7,14 @@
 
 using nlohmann::json;
 
-std::string encodeCordons(
-    const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue)
+// Key of the manager's fencing token beside the cordoned instances. No instance has an empty id, and earlier versions
+// skip values that are no strings.
+static constexpr char managerTokenKey[] = "";
+
+std::string encodeCordons(const std::map<std::string, std::string>& cordoned,
+    const std::set<std::string>& maintenanceDue, uint64_t managerToken)
 {
-    auto cordons = json::object();
+    json cordons { { managerTokenKey, managerToken } };
     for (const auto& [instance, pool] : cordoned)
         cordons[instance] = pool;
     return json::array({ std::move(cordons), maintenanceDue }).dump();
@@ -91,13 +95,16 @@
         return json::array().dump();
     auto cordons = parseStringMap(message[0]);
     auto maintenanceDue = parseStringSet(message[1]);
+    auto token = message[0].find(managerTokenKey);
+    uint64_t managerToken = token != message[0].end() && token->is_number_unsigned() ? token->get<uint64_t>() : 0;
     auto pools = json::array();
     for (const auto& [number, partition] : owned) {
         if (!partition->active())
             continue;
         for (auto& [name, service] : partition->services()) {
-            service->scheduler.setCordons(cordons, maintenanceDue, now.steady + Cordons::lifetime);
-            if (ownershipConfirmed)
+            bool current
+                = service->scheduler.setCordons(cordons, maintenanceDue, now.steady + Cordons::lifetime, managerToken);
+            if (current && ownershipConfirmed)
                 pools.push_back(encodePoolReport(makePoolReport(service->scheduler, now)));
         }
         partition->runSchedulingCycle(); // new cordons may require evictions
--- a/shallotdrift/src/Node/FleetProtocol.h
+++ b/shallotdrift/src/Node/FleetProtocol.h
@@ -11,10 +11,11 @@
 inline constexpr char fleetPath[] = "/fleet";
 
 // Messages between the fleet manager and the owners of the services. The manager sends the cordoned instances, on which
-// nothing new may be placed, each with the pool that is exempt from its cordon (empty: none), and the instances whose
-// maintenance is due. An owner responds with a report on the pool of each of its services.
-std::string encodeCordons(
-    const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue);
+// nothing new may be placed, each with the pool that is exempt from its cordon (empty: none), the instances whose
+// maintenance is due, and its fencing token. An owner responds with a report on the pool of each of its services,
+// unless it knows of a later manager.
+std::string encodeCordons(const std::map<std::string, std::string>& cordoned,
+    const std::set<std::string>& maintenanceDue, uint64_t managerToken);
 // Applies the cordons to the services of this entry instance's partitions and returns the encoded reports on their
 // pools. If the body is unreadable, changes nothing and returns an empty encoded list. Reports nothing while the
 // ownership is not confirmed: the next owner could have placed runs on instances that are empty here.
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -234,6 +234,7 @@
     CPPUNIT_TEST(failuresCountAfterTheLeaseOfTheirWorkerHasExpired);
     CPPUNIT_TEST(cordonsExemptTheNewServiceOfAnInstance);
     CPPUNIT_TEST(cordonedInstancesAreEmptyOnceNextOwnersKnowTheCordon);
+    CPPUNIT_TEST(formerManagersEndNoCordons);
     CPPUNIT_TEST(dueOccurrencesAreOpenedWithinALimit);
     CPPUNIT_TEST(failuresOfSupersededRunsCount);
     CPPUNIT_TEST(failuresAreCountedOnceAroundAHandOver);
@@ -1317,6 +1318,42 @@
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, harness.plan().size());
     }
 
+    // Guards against a move that ends runs: a fleet manager that had been replaced ended the cordon of its successor.
+    void formerManagersEndNoCordons()
+    {
+        SchedulerHarness harness;
+        harness.addWorker("w1");
+        auto until = harness.now.steady + Milliseconds { 60000 };
+        auto set = [&](uint64_t managerToken, bool cordoned) {
+            std::map<std::string, std::string> cordons;
+            if (cordoned)
+                cordons["m-w1"];
+            return harness.scheduler->setCordons(cordons, {}, until, managerToken);
+        };
+        auto isCordoned = [&] { return harness.scheduler->workers().at("w1").cordoned; };
+        CPPUNIT_ASSERT(set(4, false));
+        CPPUNIT_ASSERT(set(5, true));
+        CPPUNIT_ASSERT(!set(4, false));
+        CPPUNIT_ASSERT(isCordoned());
+        {
+            Section section("also at the next owner");
+            harness.send();
+            harness.failOver();
+            harness.addWorker("w1");
+            CPPUNIT_ASSERT(!set(4, false));
+            CPPUNIT_ASSERT(isCordoned());
+        }
+        {
+            Section section("the manager itself and later ones end them");
+            CPPUNIT_ASSERT(set(5, false));
+            CPPUNIT_ASSERT(!isCordoned());
+            CPPUNIT_ASSERT(set(6, true));
+        }
+        Section section("as do managers of earlier versions, which send no token");
+        CPPUNIT_ASSERT(set(0, false));
+        CPPUNIT_ASSERT(!isCordoned());
+    }
+
     // Guards against a single job that exhausts the memory of its owner, and of each next one: 100,000 occurrences
     // that are all due at once were opened together.
     void dueOccurrencesAreOpenedWithinALimit()
