Revert "Report an emptied instance as soon as its cordon is stored"

Suspected, not shown: while a cordon's record is being stored, owners apply the cordons and make the reports of all their workers twice.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -151,13 +151,6 @@
     return instances;
 }
 
-bool ServiceScheduler::hasUnstoredCordons() const
-{
-    auto cordoned = cordonedInstances();
-    return std::any_of(
-        cordoned.begin(), cordoned.end(), [&](const std::string& instance) { return !cordons_.isStored(instance); });
-}
-
 void ServiceScheduler::assign(Worker& worker, const TaskId& id, JobTask& task, const StepSpec& step, uint32_t runNumber)
 {
     task.runNumber = runNumber;
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -98,8 +98,6 @@
     // False if the manager with this fencing token has been replaced; see Cordons::set().
     bool setCordons(const std::map<std::string, std::string>& cordoned, const std::set<std::string>& maintenanceDue,
         Instant until, uint64_t managerToken = 0);
-    // Whether the record of a cordon has yet to be stored.
-    bool hasUnstoredCordons() const;
     Cordons& cordons() { return cordons_; }
     const Cordons& cordons() const { return cordons_; }
     std::map<std::string, Worker>& workers() { return workers_; }
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -182,12 +182,8 @@
                 addresses.insert(address);
         }
     if (includesThisInstance)
-        callbacks_.applyCordonsLocally(cordons, [this, alive = alive_, sentAt](std::string&& reports) {
-            if (!*alive)
-                return;
-            for (auto& report : decodePoolReports(reports, sentAt))
-                planner_.setReport(std::move(report));
-        });
+        for (auto& report : decodePoolReports(callbacks_.applyCordonsLocally(cordons), sentAt))
+            planner_.setReport(std::move(report));
     for (const auto& address : addresses)
         context_.peerClient.send(address, { "POST", fleetPath, {}, cordons, "application/json" }, exchangeTimeout,
             [this, alive = alive_, sentAt](HttpOutcome&& outcome) {
--- a/shallotdrift/src/Node/FleetManager.h
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -19,8 +19,8 @@
 public:
     struct Callbacks {
         std::function<const std::map<uint64_t, platform::WaveRequest>&()> waves;
-        // Applies encoded cordons to the services that this entry instance owns; passes on the encoded pool reports.
-        std::function<void(const std::string& cordons, std::function<void(std::string&& reports)>)> applyCordonsLocally;
+        // Applies encoded cordons to the services that this entry instance owns; returns the encoded pool reports.
+        std::function<std::string(const std::string& cordons)> applyCordonsLocally;
     };
 
     FleetManager(NodeContext&, Membership&, uint64_t fencingToken, Callbacks, std::function<void()> onFenced);
--- a/shallotdrift/src/Node/FleetProtocol.cpp
+++ b/shallotdrift/src/Node/FleetProtocol.cpp
@@ -112,15 +112,6 @@
     return pools.dump();
 }
 
-bool awaitCordonRecords(const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned)
-{
-    for (const auto& [number, partition] : owned)
-        for (const auto& [name, service] : partition->services())
-            if (service->scheduler.hasUnstoredCordons())
-                return true;
-    return false;
-}
-
 std::vector<PoolReport> decodePoolReports(std::string_view body, Instant requestedAt)
 {
     std::vector<PoolReport> reports;
--- a/shallotdrift/src/Node/FleetProtocol.h
+++ b/shallotdrift/src/Node/FleetProtocol.h
@@ -21,8 +21,6 @@
 // ownership is not confirmed: the next owner could have placed runs on instances that are empty here.
 std::string applyCordons(std::string_view body, const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned,
     bool ownershipConfirmed, const Now&);
-// Whether an instance is not reported as cordoned yet because the record of its cordon is being stored.
-bool awaitCordonRecords(const std::map<uint32_t, std::shared_ptr<OwnedPartition>>& owned);
 // The strings of a JSON list; other items are left out.
 std::set<std::string> parseStringSet(const nlohmann::json& list);
 PoolReport makePoolReport(const ServiceScheduler&, const Now&);
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -19,8 +19,6 @@
 using namespace internal; // NOLINT(google-build-using-namespace)
 
 // A worker accepts 64 connections. An owner uses one for the long-polling lease renewal and a few for orders.
-// An append usually takes 5 ms.
-static constexpr Milliseconds cordonRecordTime { 15 };
 static constexpr HttpClientOptions workerOptions { 5, 8 << 20, Milliseconds { 500 }, Milliseconds { 30000 } };
 static constexpr HttpClientOptions peerOptions { 16, 8 << 20, Milliseconds { 300 }, Milliseconds { 8000 } };
 static constexpr HttpClientOptions platformOptions { 12, 16 << 20, Milliseconds { 400 }, Milliseconds { 30000 } };
@@ -170,8 +168,7 @@
             callbacks.waves = [this]() -> const std::map<uint64_t, platform::WaveRequest>& {
                 return configurationWatcher_.waves();
             };
-            callbacks.applyCordonsLocally
-                = [this](const std::string& cordons, auto respond) { applyCordonsOf(cordons, std::move(respond)); };
+            callbacks.applyCordonsLocally = [this](const std::string& cordons) { return applyCordonsLocally(cordons); };
             fleetManager_ = std::make_shared<FleetManager>(
                 context_, membership_, assignedGenerations_.at(FleetManager::partition), std::move(callbacks), [this] {
                     release(FleetManager::partition);
@@ -180,32 +177,16 @@
             fleetManager_->start();
         }
 
-        // Applies the cordons of the fleet manager and passes on the reports. While the record of a new cordon is being
-        // stored, the reports wait for it, so that an empty instance can be ordered at once.
-        void applyCordonsOf(std::string manager, std::function<void(std::string&&)> respond)
+        std::string applyCordonsLocally(const std::string& cordons)
         {
-            auto apply = [this, message = std::move(manager)] {
-                auto now = currentTime();
-                return applyCordons(message, owned_, context_.membershipLease.valid(now.steady), now);
-            };
-            auto reports = apply();
-            if (!awaitCordonRecords(owned_)) {
-                respond(std::move(reports));
-                return;
-            }
-            auto timer = std::make_shared<asio::steady_timer>(io_, cordonRecordTime);
-            timer->async_wait([timer, apply, respond = std::move(respond)](std::error_code error) {
-                if (!error)
-                    respond(apply());
-            });
+            auto now = currentTime();
+            return applyCordons(cordons, owned_, context_.membershipLease.valid(now.steady), now);
         }
 
         void handlePeer(HttpMessage&& request, HttpServer::ResponseCallback respond)
         {
             if (request.target == fleetPath)
-                applyCordonsOf(std::move(request.body), [respond = std::move(respond)](std::string&& reports) {
-                    respond({ 200, std::move(reports) });
-                });
+                respond({ 200, applyCordonsLocally(request.body) });
             else if (OperatorCallRouter::isPeerCall(request.target))
                 operatorCallRouter_.handlePeer(std::move(request), std::move(respond));
             else
