--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -57,10 +57,10 @@
 
 caller_url() { echo "http://127.0.0.1:$(entry_port "$1")"; }
 job_id() { printf '%016x' "$1"; }
-# post_job ENTRY ID: prints the HTTP status of the response.
+job_body='{"Spec":"work=150","Steps":[{"Count":3,"Cpu":1000,"MemMb":10,"EstimatedMs":150},{"Count":2,"Cpu":1000,"MemMb":10,"EstimatedMs":150,"After":[0]}]}'
+# post_job ENTRY ID: posts $job_body and prints the HTTP status of the response.
 post_job() {
-  curl -s -o /dev/null -m 5 -w '%{http_code}' -X POST "$(caller_url "$1")/render/$2" -H 'Host: reports.example' -d \
-    '{"Spec":"work=150","Steps":[{"Count":3,"Cpu":1000,"MemMb":10,"EstimatedMs":150},{"Count":2,"Cpu":1000,"MemMb":10,"EstimatedMs":150,"After":[0]}]}'
+  curl -s -o /dev/null -m 5 -w '%{http_code}' -X POST "$(caller_url "$1")/render/$2" -H 'Host: reports.example' -d "$job_body"
 }
 is_accepted() { [ "$(post_job "$1" "$2")" = 200 ]; }
 # post_until_accepted ENTRY NUMBER: posts job NUMBER until it is accepted, for up to 10 s.
--- a/shallotdrift/src/Instances/InstancePlanner.cpp
+++ b/shallotdrift/src/Instances/InstancePlanner.cpp
@@ -255,20 +255,16 @@
         auto instance = instances_.find(item->first);
         bool expired = instance == instances_.end() || instance->second.state == FleetInstance::State::Down;
         bool isMove = planned.order.type == InstanceOrder::Type::Move;
-        if (planned.orderedAt) {
+        // The instance is up in its new pool and may already be needed elsewhere.
+        if (isMove && (planned.orderedAt || planned.unanswered))
+            expired = expired
+                || (instance->second.state == FleetInstance::State::Up && instance->second.pool == planned.order.pool);
+        if (planned.orderedAt)
             expired
                 = expired || now - *planned.orderedAt > (isMove ? options_.orderTimeout : options_.maintenanceDuration);
-            // The instance is up in its new pool and may already be needed elsewhere.
-            expired = expired
-                || (isMove && instance->second.state == FleetInstance::State::Up
-                    && instance->second.pool == planned.order.pool);
-        }
         // The instance has not become empty in time, and its pool may need it again.
         else if (isMove && !planned.unanswered && now - planned.plannedAt > options_.emptyingTimeout)
             expired = true;
-        else if (isMove && planned.unanswered && instance != instances_.end())
-            expired = expired
-                || (instance->second.state == FleetInstance::State::Up && instance->second.pool == planned.order.pool);
         item = expired ? plannedOrders_.erase(item) : std::next(item);
     }
 }
--- a/shallotdrift/src/Instances/InstancePlanner.h
+++ b/shallotdrift/src/Instances/InstancePlanner.h
@@ -123,7 +123,7 @@
     std::vector<InstanceOrder> plan(Instant now);
     enum class Outcome : uint8_t {
         Ok,
-        Busy, // rejected for now; the order is dropped and planned again
+        Busy, // rejected for now; the order is dropped and planned again, or sent again if an earlier one is open
         Impossible, // rejected: not possible for this instance type and pool, or not part of the wave
         Unknown, // no response; the order may have taken effect, or may still do so
         NotSent
--- a/shallotdrift/src/Jobs/Cordons.cpp
+++ b/shallotdrift/src/Jobs/Cordons.cpp
@@ -28,14 +28,6 @@
     return true;
 }
 
-bool Cordons::expire(Instant now)
-{
-    if (cordoned_.empty() || now <= until_)
-        return false;
-    set({}, {}, now);
-    return true;
-}
-
 bool Cordons::appliesTo(const std::string& instance) const
 {
     auto cordon = cordoned_.find(instance);
--- a/shallotdrift/src/Jobs/Cordons.h
+++ b/shallotdrift/src/Jobs/Cordons.h
@@ -25,8 +25,8 @@
     // managers of earlier versions have the token 0, which is always accepted.
     bool set(std::map<std::string, std::string> cordoned, std::set<std::string> maintenanceDue, Instant until,
         uint64_t managerToken = 0);
-    // Ends cordons that were not renewed. Returns true if there were any.
-    bool expire(Instant now);
+    // Whether there are cordons that were not renewed.
+    bool haveExpired(Instant now) const { return !cordoned_.empty() && now > until_; }
     bool appliesTo(const std::string& instance) const;
     bool isMaintenanceDue(const std::string& instance) const { return maintenanceDue_.count(instance) != 0; }
 
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -536,12 +536,8 @@
     worker.quarantinedUntil = std::max(worker.quarantinedUntil, now.steady + options_.orderRetryInterval);
     if (run->confirmed)
         return;
-    if (run->unansweredStarts == 0 && !run->startUncertain) {
-        endRun(order.worker, order.task, order.runNumber, RunOutcome::Stopped, {}, now);
-        return;
-    }
-    run->resendAt = now.steady + options_.orderRetryInterval; // an earlier order may have taken effect
-    hasUncertainStarts_ = true;
+    run->startSent = run->unansweredStarts > 0 || run->startUncertain; // by an earlier order
+    withholdStart(order, now);
 }
 
 // After the stop, the worker refuses to start the run, so any report requested from now on shows whether the run is
@@ -576,9 +572,8 @@
 
 std::vector<ServiceScheduler::ExpiredRun> ServiceScheduler::expireLeases(const Now& now)
 {
-    if (cordons_.expire(now.steady))
-        for (auto& [id, worker] : workers_)
-            applyCordons(worker);
+    if (cordons_.haveExpired(now.steady))
+        setCordons({}, {}, now.steady); // the manager that set them is gone
     std::vector<std::string> removed;
     std::vector<ExpiredRun> expired;
     for (auto& [id, worker] : workers_) {
--- a/shallotdrift/src/Node/WorkerSessions.cpp
+++ b/shallotdrift/src/Node/WorkerSessions.cpp
@@ -281,25 +281,20 @@
             if (!*alive)
                 return;
             auto now = currentTime();
-            if (!outcome.sent) {
-                ++context_.counters.startsNotSent;
-                logger("workers")->info(
-                    "request={} event=start_not_sent step={} index={} run={} worker={} waited_ms={}", order.task.job,
-                    order.task.step, order.task.index, order.runNumber, order.worker,
+            if (!outcome.hasResponse) {
+                ++(outcome.sent ? context_.counters.startsUnanswered : context_.counters.startsNotSent);
+                logger("workers")->info("request={} event={} step={} index={} run={} worker={} {}={}", order.task.job,
+                    outcome.sent ? "start_unanswered" : "start_not_sent", order.task.step, order.task.index,
+                    order.runNumber, order.worker, outcome.sent ? "sent_ms" : "waited_ms",
                     std::chrono::duration_cast<Milliseconds>(now.steady - call.sentAt).count());
+                if (outcome.sent) {
+                    scheduler_.onNoStartResponse(order, now);
+                    return;
+                }
                 scheduler_.onStartNotSent(order, now);
                 callbacks_.changed();
                 return;
             }
-            if (!outcome.hasResponse) {
-                ++context_.counters.startsUnanswered;
-                logger("workers")->info(
-                    "request={} event=start_unanswered step={} index={} run={} worker={} sent_ms={}", order.task.job,
-                    order.task.step, order.task.index, order.runNumber, order.worker,
-                    std::chrono::duration_cast<Milliseconds>(now.steady - call.sentAt).count());
-                scheduler_.onNoStartResponse(order, now);
-                return;
-            }
             if (auto clock = platform::parseClock(outcome.response);
                 clock && !scheduler_.onClockReading(order.worker, *clock, call, now))
                 logger("workers")->warn("dependency={} event=clock_went_back service={} clock_ms={}", order.worker,
--- a/test/FleetHarness.h
+++ b/test/FleetHarness.h
@@ -81,6 +81,15 @@
         return orders;
     }
 
+    // The orders of the first step that has any; they do not take effect.
+    std::vector<InstanceOrder> stepUntilOrdered()
+    {
+        std::vector<InstanceOrder> orders;
+        while (orders.empty())
+            orders = step(false);
+        return orders;
+    }
+
     void run(int steps)
     {
         for (int i = 0; i < steps; ++i)
--- a/test/InstancePlannerTest.cpp
+++ b/test/InstancePlannerTest.cpp
@@ -142,9 +142,7 @@
         using Outcome = InstancePlanner::Outcome;
         FleetHarness harness(0);
         harness.required["ledgers"] = 200;
-        std::vector<InstanceOrder> orders;
-        while (orders.empty())
-            orders = harness.step(false);
+        auto orders = harness.stepUntilOrdered();
         auto order = orders.front();
         harness.planner.onOrderResult(order, Outcome::Unknown, harness.now);
         harness.required = { { "checks", 200 }, { "ledgers", 1 } };
@@ -169,9 +167,7 @@
         FleetHarness former;
         wave.deadline = former.now + Milliseconds { 60000 };
         former.planner.addWave(wave);
-        std::vector<InstanceOrder> orders;
-        while (orders.empty())
-            orders = former.step(false);
+        auto orders = former.stepUntilOrdered();
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, orders.size());
         auto open = former.planner.openOrders();
         CPPUNIT_ASSERT_EQUAL(size_t { 1 }, open.size());
@@ -197,9 +193,7 @@
     {
         FleetHarness harness(0);
         harness.required["ledgers"] = 200;
-        std::vector<InstanceOrder> orders;
-        while (orders.empty())
-            orders = harness.step(false);
+        auto orders = harness.stepUntilOrdered();
         auto order = orders.front();
         CPPUNIT_ASSERT(harness.planner.maySend(order, harness.now));
         CPPUNIT_ASSERT(!harness.planner.maySend(order, harness.now + PlannerOptions {}.maximumReportAge));
