--- a/shallotdrift/Base.h
+++ b/shallotdrift/Base.h
@@ -4,5 +4,6 @@
 #include "src/Base/Error.h"
 #include "src/Base/Hash.h"
 #include "src/Base/Logging.h"
+#include "src/Base/Resources.h"
 #include "src/Base/ResultCode.h"
 #include "src/Base/Time.h"
--- a/shallotdrift/src/Jobs/JobTypes.h
+++ b/shallotdrift/src/Jobs/JobTypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../Base/Resources.h"
 #include "../Base/Time.h"
 
 #include <cstdint>
@@ -9,32 +10,6 @@
 
 namespace shallotdrift {
 
-struct Resources {
-    int64_t milliCores = 0;
-    int64_t memoryMegabytes = 0;
-    int64_t accelerators = 0;
-
-    bool fitsIn(const Resources& available) const
-    {
-        return milliCores <= available.milliCores && memoryMegabytes <= available.memoryMegabytes
-            && accelerators <= available.accelerators;
-    }
-    Resources& operator+=(const Resources& other)
-    {
-        milliCores += other.milliCores;
-        memoryMegabytes += other.memoryMegabytes;
-        accelerators += other.accelerators;
-        return *this;
-    }
-    Resources& operator-=(const Resources& other)
-    {
-        milliCores -= other.milliCores;
-        memoryMegabytes -= other.memoryMegabytes;
-        accelerators -= other.accelerators;
-        return *this;
-    }
-};
-
 // A group of identical tasks of a job. The steps of a job form a directed acyclic graph.
 struct StepSpec {
     uint32_t count = 1;
@@ -96,6 +71,7 @@
     double stretch = 2.0; // submission or due time to soft deadline: stretch * critical path + latencyTarget
     Milliseconds latencyTarget { 0 };
     Milliseconds timeout { 3000 }; // of client requests that do not specify one
+    bool isPublic = false; // its calls need no key of a client account
     struct Advice {
         Milliseconds decisionTime { 0 }; // duration of one request for advice
         Milliseconds periodPerWorker { 0 };
