Refuse requests without a key of a client account, also where a withdrawal is not heard of

Change: a call that is not on a public queue needs a key: 401 otherwise. A configuration carries the time at which a read that began then confirmed it; past the bound of the settings, keyed requests are refused as not run and the instance is not ready. The job's account is stored in its record.

--- a/shallotdrift/src/Jobs/Job.cpp
+++ b/shallotdrift/src/Jobs/Job.cpp
@@ -225,7 +225,7 @@
         steps.push_back(encodeStep(step));
     return toMessagePack(json::array({ specFormatVersion, queue_, service_, spec_.payload, std::move(steps),
         spec_.occurrences, unixMilliseconds(spec_.firstRun), spec_.interval.count(), unixMilliseconds(submittedAt_),
-        maximumAttempts_ }));
+        maximumAttempts_, account_ }));
 }
 
 std::optional<Job> Job::decodeSpec(std::string id, std::string_view bytes)
@@ -249,6 +249,8 @@
         spec.interval = Milliseconds { row.at(7).get<int64_t>() };
         Job job(std::move(id), row.at(1).get<std::string>(), row.at(2).get<std::string>(), std::move(spec),
             wallTimeFromUnix(Milliseconds { row.at(8).get<int64_t>() }), row.at(9).get<uint32_t>());
+        if (row.size() > 10) // records of earlier versions have no account
+            job.setAccount(row[10].get<std::string>());
         job.specStored = true;
         job.dirty = false;
         return job;
@@ -263,7 +265,7 @@
 {
     if (!active() && !hasRuns())
         return { toMessagePack(json::array({ stateFormatVersion, static_cast<int>(status_), unixMilliseconds(endedAt_),
-            placed_, openedCount_, closedCount_, json::array(), json::array(), started_ })) };
+            placed_, openedCount_, closedCount_, json::array(), json::array(), started_, account_ })) };
     auto tasks = json::array();
     std::vector<uint32_t*> partOfTask;
     for (auto& [number, occurrence] : openOccurrences_)
@@ -304,6 +306,8 @@
         closedCount_ = row.at(5).get<uint32_t>();
         // A record without the last column shows a start only by what the runs have left.
         started_ = row.size() > 8 ? row.at(8).get<bool>() : closedCount_ > 0;
+        if (row.size() > 9) // of an ended job, whose specification is no longer stored
+            account_ = row[9].get<std::string>();
         openOccurrences_.clear();
         for (const auto& number : row.at(6))
             openOccurrences_.emplace(number.get<uint32_t>(), makeOccurrence(number.get<uint32_t>()));
--- a/shallotdrift/src/Jobs/Job.h
+++ b/shallotdrift/src/Jobs/Job.h
@@ -54,6 +54,9 @@
     const std::string& id() const { return id_; }
     const std::string& queue() const { return queue_; }
     const std::string& service() const { return service_; }
+    // The client account that submitted the job; empty: none.
+    const std::string& account() const { return account_; }
+    void setAccount(std::string account) { account_ = std::move(account); }
     const JobSpec& spec() const { return spec_; }
     WallTime submittedAt() const { return submittedAt_; }
     uint32_t maximumAttempts() const { return maximumAttempts_; }
@@ -130,6 +133,7 @@
     std::string id_;
     std::string queue_;
     std::string service_;
+    std::string account_;
     JobSpec spec_;
     WallTime submittedAt_;
     uint32_t maximumAttempts_;
--- a/shallotdrift/src/Jobs/LongRunningPlacement.cpp
+++ b/shallotdrift/src/Jobs/LongRunningPlacement.cpp
@@ -110,6 +110,10 @@
         if (task.state != TaskState::Waiting || task.notBefore > now.steady)
             continue;
         TaskId id { job.id(), occurrence.number, step, index };
+        if (!withinQuota(job, spec.taskResources)) {
+            releaseHold(id);
+            continue;
+        }
         bool holding = holds_.find(id) != nullptr;
         auto* worker = full && !holding ? nullptr : chooseWorker(spec, id, workers);
         if (worker) {
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -175,6 +175,11 @@
         run = std::max(run, task.runNumber);
         checkpoint = std::max(checkpoint, task.checkpoint);
     }
+    Resources needed;
+    for (uint32_t member = 0; member < spec.count; ++member)
+        needed += spec.taskResources;
+    if (!withinQuota(job, needed))
+        return false;
     auto tryPlace = [&](const std::vector<Worker*>& candidates) {
         std::vector<std::pair<Worker*, TaskId>> placed;
         for (uint32_t index = 0; index < tasks.size(); ++index) {
@@ -189,7 +194,9 @@
         if (placed.size() == tasks.size())
             return true;
         for (auto& [worker, id] : placed) {
-            worker->allocated -= worker->runs.at(id).allocated;
+            const auto& placedRun = worker->runs.at(id);
+            worker->allocated -= placedRun.allocated;
+            quotas_.removeUsed(placedRun.account, placedRun.held);
             worker->runs.erase(id);
             auto& task = tasks[id.index];
             task.state = TaskState::Waiting;
@@ -244,6 +251,8 @@
         auto& task = tasks[index];
         if (task.state != TaskState::Waiting || task.notBefore > now.steady)
             continue;
+        if (!withinQuota(job, spec.taskResources))
+            return;
         TaskId id { job.id(), occurrence.number, step, index };
         auto* worker = chooseWorker(spec, id, candidates.workers);
         if (!worker) {
@@ -311,6 +320,7 @@
         healthCheckedAt_ = now.steady;
         checkWorkerHealth(now);
     }
+    countUsedQuotas();
     releaseObsoleteHolds(now);
     unplaced_.clear();
     planEvictions(now);
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -44,6 +44,15 @@
     return ended->second.status;
 }
 
+const std::string* ServiceScheduler::accountOf(const std::string& id) const
+{
+    auto found = jobs_.find(id);
+    if (found != jobs_.end())
+        return &found->second.account();
+    auto ended = ended_.find(id);
+    return ended == ended_.end() ? nullptr : &ended->second.account;
+}
+
 bool ServiceScheduler::cancel(const std::string& id, const Now& now)
 {
     auto* job = find(id);
@@ -157,6 +166,8 @@
     task.startNumber = ledger_.makeStartNumber();
     task.worker = worker.info.id;
     addRun(worker, id, task, step);
+    const auto& run = worker.runs.at(id);
+    quotas_.addUsed(run.account, run.held);
 }
 
 void ServiceScheduler::addRun(Worker& worker, const TaskId& id, JobTask& task, const StepSpec& step)
@@ -165,6 +176,9 @@
     run.number = task.runNumber;
     run.startNumber = task.startNumber;
     run.allocated = step.reservedResources();
+    run.held = step.taskResources;
+    const auto* job = find(id.job);
+    run.account = job ? quotas_.indexOf(job->account()) : QuotaLedger::noAccount;
     run.bestEffort = step.bestEffort;
     run.longRunning = step.longRunning;
     run.tailLatencyTarget = step.tailLatencyTarget;
@@ -284,6 +298,9 @@
         unexpected.number = progress.runNumber;
         if (job && progress.task.step < job->spec().steps.size())
             unexpected.allocated = job->spec().steps[progress.task.step].taskResources;
+        unexpected.held = unexpected.allocated;
+        if (job)
+            unexpected.account = quotas_.indexOf(job->account());
         if (found != worker.runs.end())
             worker.allocated -= found->second.allocated;
         worker.allocated += unexpected.allocated;
@@ -622,7 +639,7 @@
     }
     for (const auto& id : endedJobs) {
         const auto& job = jobs_.at(id);
-        ended_[id] = { job.status(), job.started(), job.endedAt() };
+        ended_[id] = { job.status(), job.started(), job.endedAt(), job.account() };
         endedByExpiry_[job.endedAt() + options_.statusRetention].push_back(id);
         jobs_.erase(id);
     }
@@ -654,10 +671,10 @@
     jobs_.insert_or_assign(id, std::move(job));
 }
 
-void ServiceScheduler::restoreEnded(const std::string& id, JobStatus status, bool started, WallTime endedAt)
+void ServiceScheduler::restoreEnded(const Job& job)
 {
-    ended_[id] = { status, started, endedAt };
-    endedByExpiry_[endedAt + options_.statusRetention].push_back(id);
+    ended_[job.id()] = { job.status(), job.started(), job.endedAt(), job.account() };
+    endedByExpiry_[job.endedAt() + options_.statusRetention].push_back(job.id());
 }
 
 void ServiceScheduler::finishRestore(const Now& now)
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../Accounts/QuotaLedger.h"
 #include "Cordons.h"
 #include "JobRecords.h"
 #include "PlacementHolds.h"
@@ -69,11 +70,16 @@
 
     const std::string& service() const { return service_; }
     void setQueues(std::map<std::string, QueueConfiguration> queues) { queues_ = std::move(queues); }
+    void setAccounts(const ClientAccounts&);
+    QuotaLedger& quotas() { return quotas_; }
+    const QuotaLedger& quotas() const { return quotas_; }
+    // Counts what the accounts use and want of their quotas now.
+    void updateQuotaHoldings(const Now&);
 
     // Jobs. add() takes a new job; restore() and restoreEnded() take jobs that were read from the store.
     void add(Job&&);
     void restore(Job&&);
-    void restoreEnded(const std::string& id, JobStatus, bool started, WallTime endedAt);
+    void restoreEnded(const Job&);
     // To be called after the last restored job. Whether the stored runs are active is unknown until their workers
     // report.
     void finishRestore(const Now&);
@@ -83,6 +89,8 @@
     // *started if the status is known: true if a worker has started a task of the job, or may have for the previous
     // owner.
     std::optional<JobStatus> statusOf(const std::string& id, bool* started = nullptr) const;
+    // The account of a job whose status is known; null for other jobs.
+    const std::string* accountOf(const std::string& id) const;
     // False if the job is unknown. An ended job keeps its status.
     bool cancel(const std::string& id, const Now&);
     // Number of active jobs of the queue that have not started, not counting recurring jobs.
@@ -185,6 +193,7 @@
         JobStatus status = JobStatus::Completed;
         bool started = false;
         WallTime endedAt {};
+        std::string account {};
     };
 
     Worker& findOrAddWorker(const std::string& id);
@@ -194,6 +203,8 @@
     // Places the next run of a task.
     void assign(Worker&, const TaskId&, JobTask&, const StepSpec&, uint32_t runNumber);
     void addRun(Worker&, const TaskId&, JobTask&, const StepSpec&);
+    void countUsedQuotas();
+    bool withinQuota(const Job&, const Resources&);
     void applyProgress(Worker&, const RunProgress&, const Now&);
     void applyEnd(Worker&, const EndedRun&, const Now&);
     // Removes a run that has ended or never started. Its task waits again unless the outcome completes the task or
@@ -253,6 +264,7 @@
     std::vector<PackedStep> unplaced_; // long-running tasks that the last plan() could neither place nor hold room for
     std::vector<StopOrder> staleRuns_; // stops of runs reported beside a newer run of the same task on the same worker
     Cordons cordons_;
+    QuotaLedger quotas_;
     bool hasUncertainStarts_ = false; // there may be starts without a response, which have to be sent again
     Instant healthCheckedAt_ {};
 };
--- a/shallotdrift/src/Jobs/Worker.h
+++ b/shallotdrift/src/Jobs/Worker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "../Accounts/QuotaLedger.h"
 #include "JobTypes.h"
 #include "TaskOrder.h"
 #include "WorkerLease.h"
@@ -17,6 +18,8 @@
         uint32_t number = 0;
         uint64_t startNumber = 0; // see JobTask::startNumber
         Resources allocated;
+        Resources held; // of the account's quota; a best-effort run holds cores that it has not reserved
+        QuotaLedger::AccountIndex account = QuotaLedger::noAccount;
         bool bestEffort = false;
         bool longRunning = false;
         Milliseconds tailLatencyTarget { 0 };
--- a/shallotdrift/src/Node/NodeContext.h
+++ b/shallotdrift/src/Node/NodeContext.h
@@ -29,6 +29,8 @@
     uint64_t partitionsLost = 0; // ownerships ended because a later owner fenced this one
     uint64_t instancesMoved = 0;
     uint64_t instancesMaintained = 0;
+    uint64_t keysRefused = 0; // requests without a known key
+    uint64_t requestsUnconfirmed = 0; // refused because the configuration could not be confirmed in time
     uint64_t unexpectedErrors = 0; // exceptions that escaped from a handler of the event loop
 };
 
@@ -52,11 +54,27 @@
     StoreClient& store;
     NodeCounters counters {};
     std::shared_ptr<const platform::Configuration> configuration {}; // null until a configuration has been read
+    // The configuration is at least as new as the store's was at this time.
+    Instant configurationConfirmedAt {};
     std::map<std::string, WorkerInfo> workerRegistry {}; // by worker id
     MembershipLease membershipLease {};
     bool stopping = false;
 };
 
+// How long a process may accept keys by the configuration that it last confirmed. A request is sent before it is
+// checked; so if its key was withdrawn more than `bound` before it was sent, the confirmation is later than the
+// withdrawal. BootClock goes on while the process is paused.
+struct KeyConfirmation {
+    Milliseconds bound { 0 }; // 0: for any time
+
+    // Part of the bound by which the clocks of the client and of this process may differ in rate.
+    static constexpr int clockMarginDivisor = 20;
+    bool holds(Instant confirmedAt, Instant now) const
+    {
+        return bound.count() == 0 || now - confirmedAt < bound - bound / clockMarginDivisor;
+    }
+};
+
 inline Now currentTime() { return { BootClock::now(), wallNow() }; }
 
 // The partition that stores the state of a service.
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -101,7 +101,7 @@
         if (!job) {
             Job ended(id, {}, {}, {}, wallNow(), 1);
             if (ended.decodeState(records.second) && !services_.empty())
-                services_.begin()->second->scheduler.restoreEnded(id, ended.status(), ended.started(), ended.endedAt());
+                services_.begin()->second->scheduler.restoreEnded(ended);
             else
                 logger("owner")->error("request={} event=unreadable_record partition={}", id, number_);
             continue;
@@ -219,12 +219,38 @@
     return false;
 }
 
+// The account of a job that is known; null if the job is unknown. An empty name: the job has none.
+const std::string* OwnedPartition::accountOf(const std::string& job) const
+{
+    for (const auto& [name, entry] : services_)
+        if (const auto* account = entry->scheduler.accountOf(job))
+            return account;
+    for (const auto& submission : submissions_)
+        if (submission.job == job)
+            return &submission.account;
+    return nullptr;
+}
+
+// A job belongs to the account that submitted it. A job without one was submitted while its queue was open to everyone.
+static bool mayAccess(const OwnerRequest& request, const std::string* accountOfJob)
+{
+    return !request.account || !accountOfJob || accountOfJob->empty() || *accountOfJob == *request.account;
+}
+
 void OwnedPartition::handle(OwnerRequest&& request, ResponseCallback respond)
 {
     if (!active_) {
         respond({ notOwnerStatus });
         return;
     }
+    if (request.type != OwnerRequest::Type::Count && !mayAccess(request, accountOf(request.job))) {
+        logger("owner")->info("request={} event=refused queue={} reason=other_account", request.job, request.queue);
+        if (request.type == OwnerRequest::Type::Submit)
+            respond(errorResponse(409, "the id cannot be used"));
+        else
+            respondUnknownJob(std::move(respond)); // as for a job that does not exist
+        return;
+    }
     switch (request.type) {
     case OwnerRequest::Type::Submit:
         submit(std::move(request), std::move(respond));
@@ -271,7 +297,8 @@
         respond(notRunResponse("not run: the store does not answer"));
         return;
     }
-    submissions_.push_back({ std::move(request.queue), std::move(request.job), std::move(*spec), std::move(respond) });
+    submissions_.push_back({ std::move(request.queue), std::move(request.job), request.account.value_or(std::string()),
+        std::move(*spec), std::move(respond) });
     runSchedulingCycle();
 }
 
@@ -299,6 +326,7 @@
             }
             Job job(submission.job, submission.queue, queue->second.service, std::move(submission.spec), wallNow(),
                 queue->second.maximumAttempts);
+            job.setAccount(std::move(submission.account));
             if (!specFitsRecord(job, context_.settings.recordBytes)) {
                 logger("owner")->info(
                     "request={} event=malformed queue={} reason=specification_too_large", job.id(), job.queue());
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -16,6 +16,8 @@
     std::string queue;
     std::string job; // id; empty for Count
     std::string body;
+    // Of the caller; nullopt: the queue's jobs are open to everyone.
+    std::optional<std::string> account {};
 };
 
 // Owns the services whose state is stored in one partition: keeps the state, makes the scheduling decisions and gives
@@ -48,6 +50,7 @@
         WorkerSessions sessions;
     };
     std::map<std::string, std::unique_ptr<Service>>& services() { return services_; }
+    const std::map<std::string, std::unique_ptr<Service>>& services() const { return services_; }
     // Applies the submissions, plans, stores the changed records, and then sends the orders and the responses that
     // waited for these records. While an append is in flight, puts the cycle off until the append is stored.
     void runSchedulingCycle();
@@ -56,6 +59,7 @@
     struct Submission {
         std::string queue;
         std::string job;
+        std::string account; // empty: none
         JobSpec spec;
         ResponseCallback respond;
     };
@@ -80,6 +84,7 @@
     void logShortage(const Now&);
     void reportFenced(const char* by);
     bool hasJob(const std::string& job) const;
+    const std::string* accountOf(const std::string& job) const;
 
     NodeContext& context_;
     uint32_t number_;
--- a/shallotdrift/src/Node/RequestRouter.cpp
+++ b/shallotdrift/src/Node/RequestRouter.cpp
@@ -21,6 +21,9 @@
 // Subtracted from the caller's timeout so that the response still arrives in time.
 static constexpr Milliseconds responseMargin { 150 };
 
+// Between entry instances: the account whose key the caller's request carries.
+static constexpr char accountHeader[] = "Client-Account";
+
 struct RequestTypeInfo {
     OwnerRequest::Type type;
     const char* method;
@@ -43,7 +46,43 @@
 {
 }
 
-bool RequestRouter::ready() const { return !context_.stopping && context_.configuration && membership_.ownersKnown(); }
+bool RequestRouter::ready() const
+{
+    return !context_.stopping && context_.configuration && membership_.ownersKnown()
+        && (!context_.configuration->hasAccounts || keysConfirmed());
+}
+
+bool RequestRouter::keysConfirmed() const
+{
+    return KeyConfirmation { context_.settings.keyWithdrawalBound }.holds(
+        context_.configurationConfirmedAt, BootClock::now());
+}
+
+static HttpResponse unauthorizedResponse(const char* reason)
+{
+    auto response = errorResponse(401, reason);
+    response.headers.push_back({ "WWW-Authenticate", "Bearer" });
+    return response;
+}
+
+RequestRouter::Authorization RequestRouter::authorize(const HttpMessage& message, const QueueConfiguration& queue)
+{
+    if (!context_.configuration->hasAccounts || queue.isPublic)
+        return {};
+    auto key = platform::callerKey(message);
+    if (key.state == platform::CallerKey::State::Absent)
+        return { {}, unauthorizedResponse("the request has no key: Authorization: Bearer KEY") };
+    if (key.state == platform::CallerKey::State::Malformed)
+        return { {}, unauthorizedResponse("the header Authorization is not one of the form Bearer KEY") };
+    if (!keysConfirmed()) { // the key may have been withdrawn or, if it is unknown, added
+        ++context_.counters.requestsUnconfirmed;
+        return { {}, notRunResponse("not run: the keys in force cannot be confirmed") };
+    }
+    const auto* account = context_.configuration->keys.findAccount(key.key);
+    if (!account)
+        return { {}, unauthorizedResponse("unknown key") };
+    return { *account, {} };
+}
 
 // Returns the queue of the host with the longest prefix that matches the path, or null if no queue matches.
 const QueueConfiguration* RequestRouter::findQueue(std::string_view host, std::string_view path) const
@@ -86,6 +125,16 @@
         respond(errorResponse(404, "no such queue"));
         return;
     }
+    auto authorization = authorize(message, *queue);
+    if (authorization.refusal) {
+        if (authorization.refusal->status == 401)
+            ++context_.counters.keysRefused;
+        logger("router")->info("event=unauthorized queue={} status={} version={} confirmed_ms={}", queue->name,
+            authorization.refusal->status, context_.configuration->version,
+            std::chrono::duration_cast<Milliseconds>(BootClock::now() - context_.configurationConfirmedAt).count());
+        respond(std::move(*authorization.refusal));
+        return;
+    }
     auto job = path.substr(queue->pathPrefix.size());
     auto type = parseRequestType(message.method, job);
     if (!type) {
@@ -97,7 +146,8 @@
         return;
     }
     auto timeout = platform::clientTimeout(message, queue->timeout);
-    forward(*queue, { *type, queue->name, std::string(job), std::move(message.body) }, timeout, std::move(respond));
+    forward(*queue, { *type, queue->name, std::string(job), std::move(message.body), std::move(authorization.account) },
+        timeout, std::move(respond));
 }
 
 void RequestRouter::forward(
@@ -149,6 +199,8 @@
     HttpRequest httpRequest { requestTypeInfo(request.type).method,
         fmt::format("/owner/{}/{}/{}", pending->partition, request.queue, request.job), {}, request.body,
         request.body.empty() ? "" : "application/json" };
+    if (request.account)
+        httpRequest.headers.push_back({ accountHeader, *request.account });
     sendToOwner(address, std::move(httpRequest), time, [this, pending, attemptNumber](HttpOutcome&& outcome) {
         if (!outcome.hasResponse) {
             onNoResponse(pending, attemptNumber, outcome.sent);
@@ -271,7 +323,10 @@
         respond({ notOwnerStatus });
         return;
     }
-    owned->handle({ *type, std::string(parts[2]), std::string(parts[3]), std::move(message.body) }, std::move(respond));
+    OwnerRequest request { *type, std::string(parts[2]), std::string(parts[3]), std::move(message.body) };
+    if (const auto* account = message.findHeader(accountHeader))
+        request.account = *account;
+    owned->handle(std::move(request), std::move(respond));
 }
 
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Node/RequestRouter.h
+++ b/shallotdrift/src/Node/RequestRouter.h
@@ -40,6 +40,13 @@
     };
     using PendingRequestPointer = std::shared_ptr<PendingRequest>;
 
+    bool keysConfirmed() const;
+    // The account that the caller's key belongs to, nullopt if the queue is open to everyone, or the refusal.
+    struct Authorization {
+        std::optional<std::string> account {};
+        std::optional<HttpResponse> refusal {};
+    };
+    Authorization authorize(const HttpMessage&, const QueueConfiguration&);
     const QueueConfiguration* findQueue(std::string_view host, std::string_view path) const;
     void forward(const QueueConfiguration&, OwnerRequest&&, Milliseconds timeout, ResponseCallback);
     void attempt(const PendingRequestPointer&);
--- a/shallotdrift/src/Node/Watchers.cpp
+++ b/shallotdrift/src/Node/Watchers.cpp
@@ -31,13 +31,35 @@
           context, platform::operatorPartition(), [this](platform::KeyedRecord&& record) { apply(record); },
           [this](uint64_t endOffset) {
               nextOffset_ = endOffset; // records appended while the pages are read are read again as changes
+              confirm(snapshotBegunAt_);
               watch();
           })
     , timer_(context.io)
 {
 }
 
-void ConfigurationWatcher::start() { reader_.start(); }
+void ConfigurationWatcher::start() { readSnapshot(); }
+
+void ConfigurationWatcher::readSnapshot()
+{
+    snapshotBegunAt_ = BootClock::now();
+    reader_.start();
+}
+
+// A response shows what the store held at some time after the request was sent, however late it arrives.
+void ConfigurationWatcher::confirm(Instant readAt)
+{
+    context_.configurationConfirmedAt = std::max(context_.configurationConfirmedAt, readAt);
+}
+
+// A read that waits for changes confirms the configuration only when it ends. When the last confirmation is getting
+// old, for example after a response was lost, a read without a wait renews it sooner.
+Milliseconds ConfigurationWatcher::readWait() const
+{
+    auto bound = context_.settings.keyWithdrawalBound;
+    bool renewSoon = bound.count() > 0 && BootClock::now() - context_.configurationConfirmedAt > bound / 3;
+    return renewSoon ? Milliseconds { 0 } : configurationReadWait;
+}
 
 void ConfigurationWatcher::retry(bool restart)
 {
@@ -46,7 +68,7 @@
         if (error)
             return;
         if (restart)
-            reader_.start();
+            readSnapshot();
         else
             watch();
     });
@@ -58,8 +80,10 @@
         retry(true);
         return;
     }
-    context_.store.send(platform::readRecordsRequest(platform::operatorPartition(), nextOffset_, configurationReadWait),
-        configurationReadWait + responseTimeout, [this](std::optional<HttpMessage> message) {
+    auto wait = readWait();
+    auto sentAt = BootClock::now();
+    context_.store.send(platform::readRecordsRequest(platform::operatorPartition(), nextOffset_, wait),
+        wait + responseTimeout, [this, sentAt](std::optional<HttpMessage> message) {
             auto response = message ? platform::parseReadRecordsResponse(*message, nextOffset_)
                                     : platform::ReadRecordsResponse {};
             if (response.status != platform::StoreStatus::Ok) {
@@ -69,6 +93,8 @@
             for (const auto& record : response.records)
                 apply(record);
             nextOffset_ = response.nextOffset;
+            if (nextOffset_ >= response.endOffset)
+                confirm(sentAt);
             watch();
         });
 }
@@ -88,9 +114,10 @@
     auto configuration = platform::decodeConfiguration(record);
     if (!configuration || (context_.configuration && configuration->version <= context_.configuration->version))
         return;
-    logger("config")->info("event=configuration_applied version={} queues={} services={} rejected={}",
+    logger("config")->info(
+        "event=configuration_applied version={} queues={} services={} accounts={} keys={} rejected={}",
         configuration->version, configuration->queues.size(), configuration->services.size(),
-        configuration->rejectedEntries);
+        configuration->accounts.size(), configuration->keys.size(), configuration->rejectedEntries);
     context_.configuration = std::make_shared<const platform::Configuration>(std::move(*configuration));
     asio::post(context_.io, [this] { onConfiguration_(); }); // an exception there must not end this watcher
 }
--- a/shallotdrift/src/Node/Watchers.h
+++ b/shallotdrift/src/Node/Watchers.h
@@ -20,6 +20,9 @@
 private:
     void watch();
     void retry(bool restart);
+    void readSnapshot();
+    Milliseconds readWait() const;
+    void confirm(Instant readAt);
     void apply(const platform::KeyedRecord&);
 
     NodeContext& context_;
@@ -27,6 +30,7 @@
     RecordReader reader_;
     asio::steady_timer timer_;
     uint64_t nextOffset_ = 0;
+    Instant snapshotBegunAt_ {};
     std::map<uint64_t, platform::WaveRequest> waves_;
 };
 
--- a/shallotdrift/src/Settings/NodeSettings.cpp
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -107,6 +107,9 @@
                     "time from the maintenance order for an instance until its new worker joins the pool, in seconds" },
                 { "order_pause_ms", &S::minimumOrderInterval, F::integer(0, 600000, "ms"), optional,
                     "minimum time between orders from different fleet managers to the same instance" },
+                { "key_withdrawal_ms", &S::keyWithdrawalBound, F::integer(0, 3600000, "ms"), optional,
+                    "a request that is sent this time after its key was withdrawn is refused, also by an instance that "
+                    "does not hear of it; 0: an instance serves with the configuration that it has" },
                 { "drain_ms", &S::drainTime, F::integer(0, 600000, "ms"), optional,
                     "shortest time for which a draining worker serves on" },
                 { "stop_ms", &S::maximumStopTime, F::integer(0, 600000, "ms"), optional,
--- a/shallotdrift/src/Settings/NodeSettings.h
+++ b/shallotdrift/src/Settings/NodeSettings.h
@@ -67,6 +67,9 @@
     double statusRetentionSeconds = 120; // time for which the state of an ended job is kept for queries
     double stopGraceSeconds = 6; // from the stop signal until the process is killed
     double maintenanceSeconds = 2; // from the maintenance order until the new worker joins the pool
+    // A request is refused this time after its key was withdrawn, also by an instance that does not hear of it;
+    // 0: an instance may serve with the configuration that it has.
+    Milliseconds keyWithdrawalBound { 0 };
     Milliseconds minimumOrderInterval { 3000 }; // between the orders of two managers to one instance
     Milliseconds drainTime { 2000 }; // for which a draining worker serves on at least
     Milliseconds maximumStopTime { 1000 }; // from a stop request until the worker has ended the run
--- a/test/ServiceSchedulerTest.cpp
+++ b/test/ServiceSchedulerTest.cpp
@@ -186,7 +186,7 @@
                 if (records.first.empty()) {
                     Job ended(id, {}, {}, {}, now.wall, 1);
                     CPPUNIT_ASSERT(ended.decodeState(records.second));
-                    scheduler->restoreEnded(id, ended.status(), ended.started(), ended.endedAt());
+                    scheduler->restoreEnded(ended);
                     continue;
                 }
                 auto job = Job::decodeSpec(id, records.first);
