Lend the quotas of client accounts to the owners of the services

Owners start tasks within their part only, and go on with it while the manager is away. A part counts until a smaller one is confirmed, or the next owner has reported the runs that it took over from the store.

--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -1,7 +1,8 @@
 #include "FleetManager.h"
 
 #include "../Base/Logging.h"
-#include "FleetProtocol.h"
+
+#include <algorithm>
 
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
@@ -163,12 +164,42 @@
         });
 }
 
+// Nothing while no account has a quota.
+std::optional<QuotaMessage> FleetManager::quotaMessage()
+{
+    if (!context_.configuration)
+        return std::nullopt;
+    const auto& accounts = context_.configuration->accounts;
+    bool hasQuotas
+        = std::any_of(accounts.begin(), accounts.end(), [](const auto& entry) { return !entry.second.quota.isZero(); });
+    if (!hasQuotas)
+        return std::nullopt;
+    std::set<std::string> services;
+    for (const auto& [name, service] : context_.configuration->services)
+        if (!service.standby)
+            services.insert(name);
+    quotaAllocator_.setAccounts(accounts);
+    quotaAllocator_.setServices(std::move(services));
+    QuotaMessage message;
+    message.offers = quotaAllocator_.makeOffers();
+    message.round = quotaAllocator_.round();
+    return message;
+}
+
+void FleetManager::applyReports(OwnerReports&& reports)
+{
+    for (auto& report : reports.pools)
+        planner_.setReport(std::move(report));
+    for (const auto& report : reports.quotas)
+        quotaAllocator_.onReport(report);
+}
+
 // Sends the cordons to the owners of all services and plans with the reports received so far; responses to the requests
 // sent here are used by later plans.
 void FleetManager::exchangeWithOwners()
 {
     auto sentAt = BootClock::now();
-    auto cordons = encodeCordons(planner_.cordons(), planner_.maintenanceDue(), fencingToken_);
+    auto quotas = quotaMessage();
     std::set<std::string> addresses;
     bool includesThisInstance = false;
     if (context_.configuration)
@@ -181,16 +212,15 @@
             else
                 addresses.insert(address);
         }
+    auto cordons = encodeCordons(planner_.cordons(), planner_.maintenanceDue(), fencingToken_, quotas);
     if (includesThisInstance)
-        for (auto& report : decodePoolReports(callbacks_.applyCordonsLocally(cordons), sentAt))
-            planner_.setReport(std::move(report));
+        applyReports(decodeOwnerReports(callbacks_.applyCordonsLocally(cordons), sentAt));
     for (const auto& address : addresses)
         context_.peerClient.send(address, { "POST", fleetPath, {}, cordons, "application/json" }, exchangeTimeout,
             [this, alive = alive_, sentAt](HttpOutcome&& outcome) {
                 if (!*alive || !outcome.hasResponse || outcome.response.status != 200)
                     return;
-                for (auto& report : decodePoolReports(outcome.response.body, sentAt))
-                    planner_.setReport(std::move(report));
+                applyReports(decodeOwnerReports(outcome.response.body, sentAt));
             });
     plan();
     exchangeTimer_.expires_after(exchangeInterval);
--- a/shallotdrift/src/Node/FleetManager.h
+++ b/shallotdrift/src/Node/FleetManager.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "../Accounts/QuotaAllocator.h"
 #include "../Instances/InstancePlanner.h"
 #include "../Operators/OperatorRequestHandler.h"
+#include "FleetProtocol.h"
 #include "Membership.h"
 #include "OperatorCallRouter.h"
 #include "PartitionWriter.h"
@@ -41,6 +43,8 @@
     void listInstances(const std::string& pageToken);
     void scheduleListing(Milliseconds);
     void exchangeWithOwners();
+    std::optional<QuotaMessage> quotaMessage();
+    void applyReports(OwnerReports&&);
     void plan();
     void logPools(Instant now);
     void sendOrder(const InstanceOrder&);
@@ -62,6 +66,7 @@
     PartitionWriter writer_;
     RecordReader reader_;
     InstancePlanner planner_;
+    QuotaAllocator quotaAllocator_;
     OperatorRequestHandler operatorRequestHandler_;
     std::vector<std::function<void()>> repliesAfterStore_; // to operators; sent when the next append is stored
     asio::steady_timer listTimer_;
--- a/shallotdrift/src/Node/FleetProtocol.cpp
+++ b/shallotdrift/src/Node/FleetProtocol.cpp
@@ -10,11 +10,109 @@
 // Key of the manager's fencing token beside the cordoned instances. No instance has an empty id, and earlier versions
 // skip values that are no strings.
 static constexpr char managerTokenKey[] = "";
+// Key of the quotas, also no id of an instance: [round, {service: [token of the owner, [part ...]]}].
+static constexpr char quotasKey[] = " quotas";
+
+static void appendResources(json& row, const Resources& resources)
+{
+    row.push_back(resources.milliCores);
+    row.push_back(resources.memoryMegabytes);
+    row.push_back(resources.accelerators);
+}
+
+// Reads the resources that begin at the column, and moves the column on.
+static Resources readResources(const json& row, size_t& column)
+{
+    Resources resources;
+    for (auto* amount : { &resources.milliCores, &resources.memoryMegabytes, &resources.accelerators })
+        *amount = row.at(column++).get<int64_t>();
+    return resources;
+}
+
+static json encodeQuotas(const QuotaMessage& message)
+{
+    auto offers = json::object();
+    for (const auto& [service, offer] : message.offers) {
+        auto parts = json::array();
+        for (const auto& part : offer.parts) {
+            auto row = json::array({ part.account });
+            appendResources(row, part.lent);
+            appendResources(row, part.quota);
+            parts.push_back(std::move(row));
+        }
+        offers[service] = json::array({ offer.ownerToken, std::move(parts) });
+    }
+    return json::array({ message.round, std::move(offers) });
+}
+
+// Returns nullopt if the message has no quotas or they are unreadable.
+static std::optional<QuotaMessage> decodeQuotas(const json& cordons)
+{
+    auto encoded = cordons.find(quotasKey);
+    if (encoded == cordons.end())
+        return std::nullopt;
+    try {
+        QuotaMessage message;
+        message.round = encoded->at(0).get<uint64_t>();
+        for (const auto& [service, row] : encoded->at(1).items()) {
+            auto& offer = message.offers[service];
+            offer.ownerToken = row.at(0).get<uint64_t>();
+            for (const auto& encodedPart : row.at(1)) {
+                size_t column = 0;
+                QuotaPart part { encodedPart.at(column++).get<std::string>() };
+                part.lent = readResources(encodedPart, column);
+                part.quota = readResources(encodedPart, column);
+                offer.parts.push_back(std::move(part));
+            }
+        }
+        return message;
+    } catch (const json::exception&) {
+        return std::nullopt;
+    }
+}
+
+static void applyQuotas(
+    ServiceScheduler& scheduler, uint64_t ownerToken, const QuotaMessage& message, uint64_t managerToken)
+{
+    auto offer = message.offers.find(scheduler.service());
+    bool addressed = offer != message.offers.end() && offer->second.ownerToken == ownerToken;
+    scheduler.quotas().applyParts(
+        { managerToken, message.round }, addressed ? offer->second.parts : std::vector<QuotaPart> {});
+}
+
+// [token of the owner, number of the message that was applied last, [holding ...]]
+static json encodeHoldings(const QuotaLedger& ledger, uint64_t ownerToken, uint64_t managerToken)
+{
+    auto holdings = json::array();
+    for (const auto& holding : ledger.holdings()) {
+        auto row = json::array({ holding.account });
+        for (const auto* resources : { &holding.lent, &holding.used, &holding.wanted, &holding.unit })
+            appendResources(row, *resources);
+        holdings.push_back(std::move(row));
+    }
+    const auto& round = ledger.lastRound();
+    return json::array({ ownerToken, round.managerToken == managerToken ? round.number : 0, std::move(holdings) });
+}
+
+static QuotaAllocator::Report decodeHoldings(const std::string& service, const json& encoded)
+{
+    QuotaAllocator::Report report { service, encoded.at(0).get<uint64_t>(), encoded.at(1).get<uint64_t>() };
+    for (const auto& row : encoded.at(2)) {
+        size_t column = 0;
+        QuotaHolding holding { row.at(column++).get<std::string>() };
+        for (auto* resources : { &holding.lent, &holding.used, &holding.wanted, &holding.unit })
+            *resources = readResources(row, column);
+        report.holdings.push_back(std::move(holding));
+    }
+    return report;
+}
 
 std::string encodeCordons(const std::map<std::string, std::string>& cordoned,
-    const std::set<std::string>& maintenanceDue, uint64_t managerToken)
+    const std::set<std::string>& maintenanceDue, uint64_t managerToken, const std::optional<QuotaMessage>& quotas)
 {
     json cordons { { managerTokenKey, managerToken } };
+    if (quotas)
+        cordons[quotasKey] = encodeQuotas(*quotas);
     for (const auto& [instance, pool] : cordoned)
         cordons[instance] = pool;
     return json::array({ std::move(cordons), maintenanceDue }).dump();
@@ -97,6 +195,7 @@
     auto maintenanceDue = parseStringSet(message[1]);
     auto token = message[0].find(managerTokenKey);
     uint64_t managerToken = token != message[0].end() && token->is_number_unsigned() ? token->get<uint64_t>() : 0;
+    auto quotas = decodeQuotas(message[0]);
     auto pools = json::array();
     for (const auto& [number, partition] : owned) {
         if (!partition->active())
@@ -104,17 +203,26 @@
         for (auto& [name, service] : partition->services()) {
             bool current
                 = service->scheduler.setCordons(cordons, maintenanceDue, now.steady + Cordons::lifetime, managerToken);
-            if (current && ownershipConfirmed)
-                pools.push_back(encodePoolReport(makePoolReport(service->scheduler, now)));
+            if (current && quotas)
+                applyQuotas(service->scheduler, partition->fencingToken(), *quotas, managerToken);
+            if (!current || !ownershipConfirmed)
+                continue;
+            pools.push_back(encodePoolReport(makePoolReport(service->scheduler, now)));
+            if (!quotas)
+                continue;
+            service->scheduler.updateQuotaHoldings(now);
+            pools.back().push_back(
+                encodeHoldings(service->scheduler.quotas(), partition->fencingToken(), managerToken));
         }
         partition->runSchedulingCycle(); // new cordons may require evictions
     }
     return pools.dump();
 }
 
-std::vector<PoolReport> decodePoolReports(std::string_view body, Instant requestedAt)
+OwnerReports decodeOwnerReports(std::string_view body, Instant requestedAt)
 {
-    std::vector<PoolReport> reports;
+    static constexpr size_t quotasColumn = 10; // earlier versions have fewer columns
+    OwnerReports reports;
     try {
         for (const auto& row : json::parse(body)) {
             PoolReport report;
@@ -131,7 +239,9 @@
             report.longRunningMemory = row.at(7).get<double>();
             report.requiredMemory = row.at(8).get<double>();
             report.overdueCores = row.at(9).get<double>();
-            reports.push_back(std::move(report));
+            if (row.size() > quotasColumn)
+                reports.quotas.push_back(decodeHoldings(report.service, row[quotasColumn]));
+            reports.pools.push_back(std::move(report));
         }
     } catch (const json::exception&) {
         return {}; // as if there were no response: the earlier reports remain and age
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -9,6 +9,7 @@
 #include "RequestRouter.h"
 #include "Watchers.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <csignal>
@@ -300,6 +301,32 @@
             });
         }
 
+        Milliseconds configurationAge() const
+        {
+            return std::chrono::duration_cast<Milliseconds>(BootClock::now() - context_.configurationConfirmedAt);
+        }
+
+        // For the accounts with the most cores in use, since each account adds lines.
+        void addQuotaMetrics(std::string& text) const
+        {
+            static constexpr size_t maximumAccounts = 50;
+            for (const auto& [number, partition] : owned_)
+                for (const auto& [service, entry] : partition->services()) {
+                    auto holdings = entry->scheduler.quotas().holdings();
+                    std::sort(holdings.begin(), holdings.end(), [](const auto& left, const auto& right) {
+                        return left.used.milliCores > right.used.milliCores;
+                    });
+                    holdings.resize(std::min(holdings.size(), maximumAccounts));
+                    for (const auto& holding : holdings)
+                        for (const auto& [name, amount] : { std::make_pair("used", holding.used.milliCores),
+                                 std::make_pair("lent", holding.lent.milliCores),
+                                 std::make_pair("wanted", holding.wanted.milliCores) })
+                            text
+                                += fmt::format("shallotdrift_quota_{}_millicores{{service=\"{}\",account=\"{}\"}} {}\n",
+                                    name, service, holding.account, amount);
+                }
+        }
+
         std::string metricsText() const
         {
             const auto& counters = context_.counters;
@@ -327,6 +354,10 @@
             add("store_reachable", storeClient_.reachable() ? 1 : 0);
             add("configuration_version", context_.configuration ? context_.configuration->version : 0);
             add("partitions_owned", owned_.size());
+            add("keys_refused_total", counters.keysRefused);
+            add("requests_unconfirmed_total", counters.requestsUnconfirmed);
+            add("configuration_age_ms", configurationAge().count());
+            addQuotaMetrics(text);
             add("unexpected_errors_total", counters.unexpectedErrors);
             return text;
         }
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -174,6 +174,8 @@
             byService[queue.service].emplace(name, queue);
     for (auto& [name, queues] : byService)
         service(name).scheduler.setQueues(std::move(queues));
+    for (const auto& [name, entry] : services_)
+        entry->scheduler.setAccounts(context_.configuration->accounts);
 }
 
 void OwnedPartition::onRegistry()
