Put what an account sends beyond its share behind the work of the others

Cause: a flood of one account made the jobs of all others late; nothing read the weights of accounts. Change: each owner meters the jobs of an account by its share in jobs a second. Jobs beyond it come last in the order, and are refused at once, with a Retry-After that spreads the returns, while the accepted work keeps the workers busy longer than a job may wait. The demand for instances counts an account's work up to its quota.

--- a/shallotdrift/Accounts.h
+++ b/shallotdrift/Accounts.h
@@ -5,3 +5,4 @@
 #include "src/Accounts/ClientAccount.h"
 #include "src/Accounts/QuotaAllocator.h"
 #include "src/Accounts/QuotaLedger.h"
+#include "src/Accounts/ShareMeter.h"
--- a/shallotdrift/src/Accounts/QuotaLedger.cpp
+++ b/shallotdrift/src/Accounts/QuotaLedger.cpp
@@ -29,6 +29,12 @@
     return entry->second;
 }
 
+Resources QuotaLedger::quotaOf(const std::string& account) const
+{
+    auto found = indexes_.find(account);
+    return found == indexes_.end() ? Resources {} : accounts_[found->second].quota;
+}
+
 bool QuotaLedger::applyParts(const QuotaRound& round, const std::vector<QuotaPart>& parts)
 {
     if (!(lastRound_ < round))
--- a/shallotdrift/src/Accounts/QuotaLedger.h
+++ b/shallotdrift/src/Accounts/QuotaLedger.h
@@ -64,6 +64,7 @@
     void clearWanted();
     void addWanted(AccountIndex, const Resources&, const Resources& unit);
 
+    Resources quotaOf(const std::string& account) const; // zero: none
     const Resources& used(AccountIndex index) const { return accounts_[index].used; }
     // The part that may be used now: less than was lent if the quota has been lowered since.
     Resources usablePart(AccountIndex) const;
--- a/shallotdrift/src/Jobs/AccountQuotas.cpp
+++ b/shallotdrift/src/Jobs/AccountLimits.cpp
@@ -1,9 +1,31 @@
-// How the quotas of client accounts bound the tasks of a service.
+// How the quotas and shares of client accounts bear on the tasks of a service.
 #include "ServiceScheduler.h"
 
+#include <algorithm>
+
 namespace shallotdrift {
 
-void ServiceScheduler::setAccounts(const ClientAccounts& accounts) { quotas_.setAccounts(accounts); }
+void ServiceScheduler::setAccounts(const ClientAccounts& accounts)
+{
+    quotas_.setAccounts(accounts);
+    shares_.setAccounts(accounts);
+}
+
+Milliseconds ServiceScheduler::backlog(Instant now)
+{
+    static constexpr Milliseconds backlogAge { 50 };
+    static constexpr double maximumBacklog = 3'600'000; // ms
+    if (now - backlogUpdatedAt_ < backlogAge)
+        return backlog_;
+    backlogUpdatedAt_ = now;
+    double work = 0;
+    for (const auto& [id, job] : jobs_)
+        if (job.active())
+            work += job.remainingWork();
+    double cores = capacity(now).schedulableCores;
+    backlog_ = Milliseconds { static_cast<int64_t>(cores > 0 ? std::min(work / cores, maximumBacklog) : 0) };
+    return backlog_;
+}
 
 // Every run that may be active on a worker counts, also one that is being stopped or whose start got no response.
 void ServiceScheduler::countUsedQuotas()
--- a/shallotdrift/src/Jobs/Job.h
+++ b/shallotdrift/src/Jobs/Job.h
@@ -57,6 +57,9 @@
     // The client account that submitted the job; empty: none.
     const std::string& account() const { return account_; }
     void setAccount(std::string account) { account_ = std::move(account); }
+    // Beyond what is due to the account while there is too little room. Not stored.
+    bool beyondShare() const { return beyondShare_; }
+    void setBeyondShare(bool beyondShare) { beyondShare_ = beyondShare; }
     const JobSpec& spec() const { return spec_; }
     WallTime submittedAt() const { return submittedAt_; }
     uint32_t maximumAttempts() const { return maximumAttempts_; }
@@ -134,6 +137,7 @@
     std::string queue_;
     std::string service_;
     std::string account_;
+    bool beyondShare_ = false;
     JobSpec spec_;
     WallTime submittedAt_;
     uint32_t maximumAttempts_;
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -59,11 +59,12 @@
 // Jobs with long-running tasks come first, since they are of value as long as they run. Jobs are then ordered by
 // priority, then jobs of which a task has been placed, then by soft deadline. Jobs that will miss their soft deadline
 // come after those: they are of little value, and running them first would delay other jobs beyond their soft
-// deadlines.
+// deadlines. What an account sends beyond its share comes last, so that its flood delays nobody else.
 std::vector<Job*> ServiceScheduler::jobsInSchedulingOrder(const Now& now)
 {
     struct Rank {
         bool longRunning;
+        bool beyondShare;
         bool overdue;
         uint32_t priority;
         WallTime deadline;
@@ -78,12 +79,15 @@
         auto remaining = job.openOccurrences().empty()
             ? Milliseconds { 0 }
             : job.remainingCriticalPath(job.openOccurrences().begin()->second);
-        ranks.push_back({ job.longRunning(), now.wall + remaining > deadline,
+        ranks.push_back({ job.longRunning(), job.beyondShare(), now.wall + remaining > deadline,
             queue == queues_.end() ? 0 : queue->second.priority, deadline, &job });
     }
     std::sort(ranks.begin(), ranks.end(), [](const Rank& left, const Rank& right) {
-        return std::make_tuple(!left.longRunning, left.overdue, left.priority, !left.job->placed(), left.deadline)
-            < std::make_tuple(!right.longRunning, right.overdue, right.priority, !right.job->placed(), right.deadline);
+        auto key = [](const Rank& rank) {
+            return std::make_tuple(
+                !rank.longRunning, rank.beyondShare, rank.overdue, rank.priority, !rank.job->placed(), rank.deadline);
+        };
+        return key(left) < key(right);
     });
     std::vector<Job*> jobs;
     jobs.reserve(ranks.size());
@@ -252,6 +256,7 @@
         if (task.state != TaskState::Waiting || task.notBefore > now.steady)
             continue;
         if (!withinQuota(job, spec.taskResources))
+    }
             return;
         TaskId id { job.id(), occurrence.number, step, index };
         auto* worker = chooseWorker(spec, id, candidates.workers);
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -760,9 +760,20 @@
         demand.allocatedCores += static_cast<double>(worker.allocated.milliCores) / 1000;
     for (const auto& [id, job] : jobs_) {
         if (!job.active())
+// Adds what the jobs of an account require, as far as its quota lets them run at the same time.
+void ServiceScheduler::addWithinQuota(const Demand& required, const std::string& account, Demand& demand) const
+{
+    auto quotaCores = static_cast<double>(quotas_.quotaOf(account).milliCores) / 1000;
+    double part = quotaCores > 0 ? std::min(1.0, quotaCores / std::max(required.requiredCores, quotaCores)) : 1;
+    demand.requiredCores += part * required.requiredCores;
+    demand.overdueCores += part * required.overdueCores;
+    demand.requiredMemory += part * required.requiredMemory;
+}
+
             continue;
         Milliseconds criticalPathTime { 0 };
         for (const auto& [number, occurrence] : job.openOccurrences()) {
+    std::map<std::string, Demand> byAccount;
             criticalPathTime = std::max(criticalPathTime, job.remainingCriticalPath(occurrence));
             for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& spec = job.spec().steps[step];
@@ -781,14 +792,16 @@
         // Overdue jobs are of little value and only use the capacity that other jobs leave. The demand includes them at
         // a rate at which they are still completed.
         auto remainingTime = softDeadline(job) - now.wall;
-        bool overdue = remainingTime < criticalPathTime;
+        bool overdue = remainingTime < criticalPathTime || job.beyondShare();
         if (overdue)
             remainingTime = std::max(criticalPathTime, options_.overdueCompletionTime);
         if (remainingTime.count() > 0) {
             double cores = job.remainingWork() / static_cast<double>(remainingTime.count());
-            demand.requiredCores += cores;
-            demand.overdueCores += overdue ? cores : 0;
-            demand.requiredMemory += job.remainingMemoryTime() / static_cast<double>(remainingTime.count());
+            double memory = job.remainingMemoryTime() / static_cast<double>(remainingTime.count());
+            auto& required = byAccount[job.account()];
+            required.requiredCores += cores;
+            required.overdueCores += overdue ? cores : 0;
+            required.requiredMemory += memory;
         }
     }
     demand.minimumWorkers = workersForLongRunningTasks(now.steady);
@@ -796,3 +809,5 @@
 }
 
 } // namespace shallotdrift
+    for (const auto& [account, required] : byAccount)
+        addWithinQuota(required, account, demand);
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "../Accounts/QuotaLedger.h"
+#include "../Accounts/ShareMeter.h"
 #include "Cordons.h"
 #include "JobRecords.h"
 #include "PlacementHolds.h"
@@ -76,6 +77,9 @@
     // Counts what the accounts use and want of their quotas now.
     void updateQuotaHoldings(const Now&);
 
+    ShareMeter& shares() { return shares_; }
+    // Time that the service needs for the accepted short work, with the workers that it has. At most backlogAge old.
+    Milliseconds backlog(Instant now);
     // Jobs. add() takes a new job; restore() and restoreEnded() take jobs that were read from the store.
     void add(Job&&);
     void restore(Job&&);
@@ -207,6 +211,7 @@
     bool withinQuota(const Job&, const Resources&);
     void applyProgress(Worker&, const RunProgress&, const Now&);
     void applyEnd(Worker&, const EndedRun&, const Now&);
+    void addWithinQuota(const Demand& required, const std::string& account, Demand&) const;
     // Removes a run that has ended or never started. Its task waits again unless the outcome completes the task or
     // fails the job.
     void endRun(const std::string& worker, const TaskId&, uint32_t runNumber, RunOutcome, const std::string& checkpoint,
@@ -270,3 +275,6 @@
 };
 
 } // namespace shallotdrift
+    ShareMeter shares_;
+    Milliseconds backlog_ { 0 };
+    Instant backlogUpdatedAt_ {};
--- a/shallotdrift/src/Node/NodeContext.h
+++ b/shallotdrift/src/Node/NodeContext.h
@@ -17,6 +17,7 @@
     uint64_t requests = 0;
     uint64_t jobsAccepted = 0;
     uint64_t jobsRefused = 0;
+    uint64_t jobsBeyondShare = 0; // part of the refused ones
     uint64_t requestsUnanswered = 0; // attempts that got no response from the owner; a request may have several
     uint64_t startsSent = 0;
     uint64_t startsRefused = 0;
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -337,6 +337,7 @@
             add("requests_total", counters.requests);
             add("jobs_accepted_total", counters.jobsAccepted);
             add("jobs_refused_total", counters.jobsRefused);
+            add("jobs_beyond_share_total", counters.jobsBeyondShare);
             add("requests_unanswered_total", counters.requestsUnanswered);
             add("starts_sent_total", counters.startsSent);
             add("starts_refused_total", counters.startsRefused);
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -1,5 +1,6 @@
 #include "OwnedPartition.h"
 
+#include "../Base/Hash.h"
 #include "../Base/Logging.h"
 #include "ErrorResponses.h"
 #include "Membership.h"
@@ -299,12 +300,41 @@
         respond(notRunResponse("not run: the store does not answer"));
         return;
     }
-    submissions_.push_back({ std::move(request.queue), std::move(request.job), request.account.value_or(std::string()),
+    auto account = request.account.value_or(std::string());
+    auto queue = context_.configuration->queues.find(request.queue);
+    bool beyondShare = queue != context_.configuration->queues.end()
+        && !service(queue->second.service).scheduler.shares().take(account, BootClock::now());
+    if (refuseBeyondShare(request, beyondShare, respond))
+        return;
+    submissions_.push_back({ std::move(request.queue), std::move(request.job), std::move(account), beyondShare,
         std::move(*spec), std::move(respond) });
     runSchedulingCycle();
 }
 
 void OwnedPartition::refuseSubmissions()
+// A job beyond the share of its account starts only in room that the others leave. If the accepted work keeps the
+// workers busy beyond the time in which the job should start, it is refused at once, and the callers' returns are
+// spread over the time that the work takes.
+bool OwnedPartition::refuseBeyondShare(const OwnerRequest& request, bool beyondShare, const ResponseCallback& respond)
+{
+    static constexpr Milliseconds maximumRetryAfter { 30000 };
+    if (!beyondShare)
+        return false;
+    const auto& queue = context_.configuration->queues.at(request.queue);
+    auto backlog = service(queue.service).scheduler.backlog(BootClock::now());
+    if (backlog <= queue.latencyTarget)
+        return false;
+    auto spread = Milliseconds { static_cast<int64_t>(hash64(request.job) % static_cast<uint64_t>(backlog.count())) };
+    auto retryAfter = std::chrono::ceil<std::chrono::seconds>(std::min(backlog + spread, maximumRetryAfter));
+    ++context_.counters.jobsBeyondShare;
+    ++context_.counters.jobsRefused;
+    logger("owner")->info(
+        "request={} event=refused queue={} account={} reason=beyond_share backlog_ms={} retry_after_s={}", request.job,
+        request.queue, *request.account, backlog.count(), retryAfter.count());
+    respond(refusedResponse(429, "not run: beyond the account's share while there is too little room", retryAfter));
+    return true;
+}
+
 {
     auto submissions = std::move(submissions_);
     submissions_.clear();
@@ -330,13 +360,16 @@
                 queue->second.maximumAttempts);
             job.setAccount(std::move(submission.account));
             if (!specFitsRecord(job, context_.settings.recordBytes)) {
+            job.setBeyondShare(submission.beyondShare);
                 logger("owner")->info(
                     "request={} event=malformed queue={} reason=specification_too_large", job.id(), job.queue());
                 submission.respond(errorResponse(400, "the specification does not fit a record of the store"));
                 continue;
             }
-            logger("owner")->info("request={} event=accepted queue={} steps={} critical_path_ms={} work_core_ms={:.0f}",
-                job.id(), job.queue(), job.spec().steps.size(), job.criticalPath().count(), job.remainingWork());
+            logger("owner")->info("request={} event=accepted queue={} account={} beyond_share={} steps={} "
+                                  "critical_path_ms={} work_core_ms={:.0f}",
+                job.id(), job.queue(), job.account(), job.beyondShare(), job.spec().steps.size(),
+                job.criticalPath().count(), job.remainingWork());
             ++context_.counters.jobsAccepted;
             service(job.service()).scheduler.add(std::move(job));
         }
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -60,6 +60,7 @@
         std::string queue;
         std::string job;
         std::string account; // empty: none
+        bool beyondShare; // of the account
         JobSpec spec;
         ResponseCallback respond;
     };
@@ -69,6 +70,7 @@
     void configureServices();
     Service& service(const std::string& name); // created on the first call
     void submit(OwnerRequest&&, ResponseCallback);
+    bool refuseBeyondShare(const OwnerRequest&, bool beyondShare, const ResponseCallback&);
     void query(const OwnerRequest&, ResponseCallback);
     void cancel(const OwnerRequest&, ResponseCallback);
     void respondUnknownJob(ResponseCallback);
