Reserve room that will be free soon for tasks that fit on no worker

Cause: small tasks took each gap on a worker before it was large enough for a large one, which waited for seconds. Change: for tasks that fit nowhere, room is reserved on the workers that are expected to have it first (EASY backfilling, one reservation a worker). Later tasks fill the gap only if they will have ended or leave the room untouched. Ends are predicted from the reported progress, and from the durations or the ratios to the estimates of earlier runs of the kind. Setting [placement] reserved_workers.

--- /dev/null
+++ b/shallotdrift/src/Jobs/LookAhead.cpp
@@ -0,0 +1,90 @@
+// Placement that looks ahead: room that will be free soon is reserved for tasks that fit on no worker now.
+#include "ServiceScheduler.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace shallotdrift {
+
+std::string ServiceScheduler::kindOf(const Job& job, uint32_t step)
+{
+    return fmt::format("{}/{}/{}", job.queue(), step, job.spec().steps[step].image);
+}
+
+Instant ServiceScheduler::expectedEnd(const Worker::Run& run, const Now& now) const
+{
+    if (run.longRunning)
+        return Instant::max();
+    auto startedAt = run.confirmed ? run.confirmedAt : now.steady;
+    return RunTimes::expectedEnd(startedAt, run.expectedDuration, run.progressPercent, run.lastProgressAt, now.steady);
+}
+
+// The earliest time at which the worker has the room, as far as its runs end as expected; nullopt if it never has. Sets
+// *free to what is free at that time.
+std::optional<Instant> ServiceScheduler::expectedRoomAt(
+    const Worker& worker, const Resources& needed, const Now& now, Resources* free) const
+{
+    *free = worker.freeResources() - worker.held;
+    if (needed.fitsIn(*free))
+        return now.steady;
+    std::vector<std::pair<Instant, const Worker::Run*>> ends;
+    for (const auto& [id, run] : worker.runs)
+        if (!run.longRunning)
+            ends.emplace_back(expectedEnd(run, now), &run);
+    std::sort(ends.begin(), ends.end());
+    for (const auto& [end, run] : ends) {
+        *free += run->allocated;
+        if (needed.fitsIn(*free))
+            return end;
+    }
+    return std::nullopt;
+}
+
+// Reserves room for waiting tasks of a step on the workers that are expected to have it first.
+void ServiceScheduler::reserveRoom(
+    const Job& job, const Occurrence& occurrence, uint32_t step, const std::vector<Worker*>& workers, const Now& now)
+{
+    static constexpr size_t maximumTasksOfJob = 4;
+    reservations_.activate(job.id());
+    const auto& spec = job.spec().steps[step];
+    auto needed = spec.reservedResources();
+    const auto& tasks = occurrence.steps[step].tasks;
+    auto firstWaiting = std::find_if(
+        tasks.begin(), tasks.end(), [](const JobTask& task) { return task.state == TaskState::Waiting; });
+    if (firstWaiting == tasks.end())
+        return;
+    TaskId id { job.id(), occurrence.number, step, static_cast<uint32_t>(firstWaiting - tasks.begin()) };
+    auto waiting = static_cast<size_t>(std::count_if(
+        tasks.begin(), tasks.end(), [](const JobTask& task) { return task.state == TaskState::Waiting; }));
+    for (size_t count = reservations_.countOf(job.id());
+         count < std::min(waiting, maximumTasksOfJob) && reservations_.size() < options_.maximumReservations; ++count) {
+        const Worker* best = nullptr;
+        Reservations::Reservation reservation;
+        for (const auto* worker : workers) {
+            Resources free;
+            if (reservations_.hasReservation(worker->info.id) || !hasPlaceFor(*worker, spec, id))
+                continue;
+            auto at = expectedRoomAt(*worker, needed, now, &free);
+            if (!at || (best && *at >= reservation.at))
+                continue;
+            best = worker;
+            reservation = { job.id(), *at, free - needed, true };
+        }
+        if (!best)
+            return;
+        reservations_.add(best->info.id, std::move(reservation));
+    }
+}
+
+// Expected ends change as runs make progress, so the reservations are made anew at times.
+void ServiceScheduler::renewReservations(const Now& now)
+{
+    static constexpr Milliseconds renewalInterval { 100 };
+    reservations_.beginPass();
+    if (now.steady - reservationsMadeAt_ < renewalInterval)
+        return;
+    reservationsMadeAt_ = now.steady;
+    reservations_.clear();
+}
+
+} // namespace shallotdrift
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -128,7 +128,7 @@
 // Best fit: packs the workers one after another, so that whole instances become free for other pools. Serving and
 // best-effort tasks interfere with each other and are spread instead. Null if no worker fits.
 Worker* ServiceScheduler::chooseWorker(
-    const StepSpec& spec, const TaskId& id, const std::vector<Worker*>& workers) const
+    const StepSpec& spec, const TaskId& id, const std::vector<Worker*>& workers, Instant endsAt) const
 {
     auto needed = spec.reservedResources();
     Worker* best = nullptr;
@@ -141,7 +141,8 @@
             available += ownHold->resources;
         if (spec.bestEffort) // needs no cores, also where more are held than are free
             available.milliCores = std::max<int64_t>(available.milliCores, 0);
-        if (!needed.fitsIn(available) || !hasPlaceFor(*worker, spec, id))
+        if (!needed.fitsIn(available) || !hasPlaceFor(*worker, spec, id)
+            || !reservations_.allows(worker->info.id, id.job, needed, endsAt))
             continue;
         bool remoteData = !spec.dataRack.empty() && !hasLabel(*worker, spec.dataRack);
         // Maintenance would soon evict a long-running task again, and few tasks of a step may be unavailable at once.
@@ -247,25 +248,32 @@
         placeLongRunningStep(job, occurrence, step, candidates.workers, orders, now);
         return;
     }
+    auto endsAt = now.steady + runTimes_.predict(kindOf(job, step), spec.estimatedDuration);
+    bool reserves = options_.maximumReservations > 0 && !spec.bestEffort && !job.beyondShare();
     // One request that does not fit rules out larger requests only if free resources are the sole criterion.
     bool resourcesOnly = !spec.bestEffort && spec.requiredLabel.empty() && spec.maximumTasksPerWorker == 0;
-    if (resourcesOnly && candidates.isTooLarge(spec.taskResources))
+    if (resourcesOnly && candidates.isTooLarge(spec.taskResources)) {
+        if (reserves)
+            reserveRoom(job, occurrence, step, candidates.workers, now);
         return;
+    }
     for (uint32_t index = 0; index < tasks.size(); ++index) {
         auto& task = tasks[index];
         if (task.state != TaskState::Waiting || task.notBefore > now.steady)
             continue;
         if (!withinQuota(job, spec.taskResources))
-    }
             return;
         TaskId id { job.id(), occurrence.number, step, index };
-        auto* worker = chooseWorker(spec, id, candidates.workers);
+        auto* worker = chooseWorker(spec, id, candidates.workers, endsAt);
         if (!worker) {
             if (resourcesOnly)
                 candidates.tooLarge.push_back(spec.taskResources);
+            if (reserves)
+                reserveRoom(job, occurrence, step, candidates.workers, now);
             return;
         }
         assign(*worker, id, task, spec, task.runNumber + 1);
+        reservations_.onPlaced(worker->info.id, id.job, spec.reservedResources(), endsAt);
         orders.push_back(makeStartOrder(job, id, task));
     }
 }
@@ -328,6 +336,7 @@
     countUsedQuotas();
     releaseObsoleteHolds(now);
     unplaced_.clear();
+    renewReservations(now);
     planEvictions(now);
     Candidates candidates { schedulableWorkers(now.steady), {} };
     if (candidates.workers.empty())
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -178,6 +178,8 @@
     run.allocated = step.reservedResources();
     run.held = step.taskResources;
     const auto* job = find(id.job);
+    if (job && !step.longRunning)
+        run.expectedDuration = runTimes_.predict(kindOf(*job, id.step), step.estimatedDuration);
     run.account = job ? quotas_.indexOf(job->account()) : QuotaLedger::noAccount;
     run.bestEffort = step.bestEffort;
     run.longRunning = step.longRunning;
@@ -342,6 +344,11 @@
     if (job)
         job->setStarted(); // a worker lists ends only of runs that it has started
     auto* task = job ? job->findTask(ended.task) : nullptr;
+    auto run = worker.runs.find(ended.task);
+    if (task && ended.outcome == RunOutcome::Completed && run != worker.runs.end() && run->second.confirmed
+        && run->second.number == ended.runNumber && !run->second.longRunning)
+        runTimes_.record(kindOf(*job, ended.task.step), run->second.estimatedDuration,
+            std::chrono::duration_cast<Milliseconds>(now.steady - run->second.confirmedAt));
     if (task && task->runNumber == ended.runNumber)
         updateFailureScore(worker, *task, ended.outcome, now);
     endRun(worker.info.id, ended.task, ended.runNumber, ended.outcome, ended.checkpoint, now);
@@ -753,13 +760,6 @@
     return orders;
 }
 
-ServiceScheduler::Demand ServiceScheduler::demand(const Now& now) const
-{
-    Demand demand;
-    for (const auto& [id, worker] : workers_)
-        demand.allocatedCores += static_cast<double>(worker.allocated.milliCores) / 1000;
-    for (const auto& [id, job] : jobs_) {
-        if (!job.active())
 // Adds what the jobs of an account require, as far as its quota lets them run at the same time.
 void ServiceScheduler::addWithinQuota(const Demand& required, const std::string& account, Demand& demand) const
 {
@@ -770,10 +770,17 @@
     demand.requiredMemory += part * required.requiredMemory;
 }
 
+ServiceScheduler::Demand ServiceScheduler::demand(const Now& now) const
+{
+    Demand demand;
+    std::map<std::string, Demand> byAccount;
+    for (const auto& [id, worker] : workers_)
+        demand.allocatedCores += static_cast<double>(worker.allocated.milliCores) / 1000;
+    for (const auto& [id, job] : jobs_) {
+        if (!job.active())
             continue;
         Milliseconds criticalPathTime { 0 };
         for (const auto& [number, occurrence] : job.openOccurrences()) {
-    std::map<std::string, Demand> byAccount;
             criticalPathTime = std::max(criticalPathTime, job.remainingCriticalPath(occurrence));
             for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
                 const auto& spec = job.spec().steps[step];
@@ -804,10 +811,10 @@
             required.requiredMemory += memory;
         }
     }
+    for (const auto& [account, required] : byAccount)
+        addWithinQuota(required, account, demand);
     demand.minimumWorkers = workersForLongRunningTasks(now.steady);
     return demand;
 }
 
 } // namespace shallotdrift
-    for (const auto& [account, required] : byAccount)
-        addWithinQuota(required, account, demand);
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -5,7 +5,9 @@
 #include "Cordons.h"
 #include "JobRecords.h"
 #include "PlacementHolds.h"
+#include "Reservations.h"
 #include "RunLedger.h"
+#include "RunTimes.h"
 #include "TaskOrder.h"
 #include "WorkerPacking.h"
 
@@ -38,6 +40,7 @@
     // A draining worker serves for at least this time, counted from the moment when its entry says so.
     Milliseconds drainTime { 2000 };
     size_t maximumRecordBytes = 262144; // of a stored record, with its key
+    size_t maximumReservations = 8; // workers on which room is reserved for tasks that do not fit yet; 0: none
 };
 
 struct StartOrder {
@@ -74,12 +77,12 @@
     void setAccounts(const ClientAccounts&);
     QuotaLedger& quotas() { return quotas_; }
     const QuotaLedger& quotas() const { return quotas_; }
-    // Counts what the accounts use and want of their quotas now.
-    void updateQuotaHoldings(const Now&);
-
     ShareMeter& shares() { return shares_; }
     // Time that the service needs for the accepted short work, with the workers that it has. At most backlogAge old.
     Milliseconds backlog(Instant now);
+    // Counts what the accounts use and want of their quotas now.
+    void updateQuotaHoldings(const Now&);
+
     // Jobs. add() takes a new job; restore() and restoreEnded() take jobs that were read from the store.
     void add(Job&&);
     void restore(Job&&);
@@ -208,10 +211,10 @@
     void assign(Worker&, const TaskId&, JobTask&, const StepSpec&, uint32_t runNumber);
     void addRun(Worker&, const TaskId&, JobTask&, const StepSpec&);
     void countUsedQuotas();
+    void addWithinQuota(const Demand& required, const std::string& account, Demand&) const;
     bool withinQuota(const Job&, const Resources&);
     void applyProgress(Worker&, const RunProgress&, const Now&);
     void applyEnd(Worker&, const EndedRun&, const Now&);
-    void addWithinQuota(const Demand& required, const std::string& account, Demand&) const;
     // Removes a run that has ended or never started. Its task waits again unless the outcome completes the task or
     // fails the job.
     void endRun(const std::string& worker, const TaskId&, uint32_t runNumber, RunOutcome, const std::string& checkpoint,
@@ -241,7 +244,14 @@
     void placeLongRunningStep(
         Job&, Occurrence&, uint32_t step, const std::vector<Worker*>&, std::vector<StartOrder>&, const Now&);
     bool placeGang(Job&, Occurrence&, uint32_t step, std::vector<Worker*>&, std::vector<StartOrder>&);
-    Worker* chooseWorker(const StepSpec&, const TaskId&, const std::vector<Worker*>&) const;
+    // A short task is expected to end at endsAt, by which it may use room that is reserved from then on.
+    Worker* chooseWorker(
+        const StepSpec&, const TaskId&, const std::vector<Worker*>&, Instant endsAt = Instant::max()) const;
+    static std::string kindOf(const Job&, uint32_t step);
+    Instant expectedEnd(const Worker::Run&, const Now&) const;
+    std::optional<Instant> expectedRoomAt(const Worker&, const Resources& needed, const Now&, Resources* free) const;
+    void reserveRoom(const Job&, const Occurrence&, uint32_t step, const std::vector<Worker*>&, const Now&);
+    void renewReservations(const Now&);
     bool hasPlaceFor(const Worker&, const StepSpec&, const TaskId&) const;
     void holdRoom(const StepSpec&, const TaskId&, const std::vector<Worker*>&);
     void setHold(const TaskId&, Worker&, const Resources&);
@@ -266,15 +276,18 @@
     std::map<WallTime, std::vector<std::string>> endedByExpiry_;
     std::map<std::string, Worker> workers_;
     PlacementHolds holds_;
+    RunTimes runTimes_;
+    Reservations reservations_;
+    Instant reservationsMadeAt_ {};
     std::vector<PackedStep> unplaced_; // long-running tasks that the last plan() could neither place nor hold room for
     std::vector<StopOrder> staleRuns_; // stops of runs reported beside a newer run of the same task on the same worker
     Cordons cordons_;
     QuotaLedger quotas_;
+    ShareMeter shares_;
+    Milliseconds backlog_ { 0 };
+    Instant backlogUpdatedAt_ {};
     bool hasUncertainStarts_ = false; // there may be starts without a response, which have to be sent again
     Instant healthCheckedAt_ {};
 };
 
 } // namespace shallotdrift
-    ShareMeter shares_;
-    Milliseconds backlog_ { 0 };
-    Instant backlogUpdatedAt_ {};
--- a/shallotdrift/src/Jobs/Worker.h
+++ b/shallotdrift/src/Jobs/Worker.h
@@ -24,6 +24,7 @@
         bool longRunning = false;
         Milliseconds tailLatencyTarget { 0 };
         Milliseconds estimatedDuration { 0 };
+        Milliseconds expectedDuration { 0 }; // as learned from runs of the same kind
         bool startSent = false; // the start order may have reached the worker
         bool startUncertain = false; // the start order got no response, so it may still take effect
         Instant startSentAt {}; // of the last start order of this owner
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -145,6 +145,7 @@
         options.drainTime = context_.settings.drainTime;
         options.takeoverSettleTime = context_.settings.maximumStopTime + orderRoundTrip;
         options.overdueCompletionTime = context_.settings.overdueCompletionTime;
+        options.maximumReservations = context_.settings.reservedWorkers;
         options.maximumRecordBytes = context_.settings.recordBytes;
         options.lease.duration = std::min(options.lease.duration, options.lease.maximumDuration * 2 / 3);
         entry = std::make_unique<Service>(context_, name, options, fencingToken_,
@@ -311,7 +312,6 @@
     runSchedulingCycle();
 }
 
-void OwnedPartition::refuseSubmissions()
 // A job beyond the share of its account starts only in room that the others leave. If the accepted work keeps the
 // workers busy beyond the time in which the job should start, it is refused at once, and the callers' returns are
 // spread over the time that the work takes.
@@ -335,6 +335,7 @@
     return true;
 }
 
+void OwnedPartition::refuseSubmissions()
 {
     auto submissions = std::move(submissions_);
     submissions_.clear();
@@ -359,8 +360,8 @@
             Job job(submission.job, submission.queue, queue->second.service, std::move(submission.spec), wallNow(),
                 queue->second.maximumAttempts);
             job.setAccount(std::move(submission.account));
-            if (!specFitsRecord(job, context_.settings.recordBytes)) {
             job.setBeyondShare(submission.beyondShare);
+            if (!specFitsRecord(job, context_.settings.recordBytes)) {
                 logger("owner")->info(
                     "request={} event=malformed queue={} reason=specification_too_large", job.id(), job.queue());
                 submission.respond(errorResponse(400, "the specification does not fit a record of the store"));
--- a/shallotdrift/src/Settings/NodeSettings.cpp
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -92,6 +92,10 @@
                 { "late_ms", &S::overdueCompletionTime, F::integer(100, 3600000, "ms"), optional,
                     "time within which jobs that can no longer meet their latency objective should end" },
             } },
+        { "placement",
+            { { "reserved_workers", &S::reservedWorkers, F::integer(0, 1000), optional,
+                "workers of a service on which room that will be free soon is reserved for tasks that fit on none yet; "
+                "0: none" } } },
         { "advice",
             { { "address", &S::adviceAddress, F::address(), optional,
                 "address of the service that knows which workers a policy allows" } } },
@@ -155,7 +159,7 @@
         else
             errors.add(section,
                 "unknown section; known sections are [node], [store], [machine], [ownership], [operators], "
-                "[instances], [planning], [advice] and [bounds]");
+                "[instances], [planning], [placement], [advice] and [bounds]");
     }
     for (const auto& schema : schemas)
         if (schema.presence == Presence::Required && !text.find(schema.section))
--- a/shallotdrift/src/Settings/NodeSettings.h
+++ b/shallotdrift/src/Settings/NodeSettings.h
@@ -59,6 +59,9 @@
     Milliseconds scaleDownDelay { 500 }; // a pool is scaled down after it was larger than needed for this time
     Milliseconds overdueCompletionTime { 8000 }; // target for jobs that can no longer meet their latency objective
 
+    // [placement]
+    uint32_t reservedWorkers = 8; // of a service, with room reserved for tasks that do not fit yet; 0: none
+
     // [advice]
     std::string adviceAddress;
 
