--- a/standin/PlatformRole.cpp
+++ b/standin/PlatformRole.cpp
@@ -92,10 +92,11 @@
 
         static std::string address(int offset) { return fmt::format("127.0.0.1:{}", FLAGS_users_port + offset); }
 
+        // With accounts, the queue "render" needs a key, and a queue "open" needs none.
         void publishConfiguration()
         {
             platform::Configuration configuration;
-            configuration.version = 1;
+            configuration.version = ++configurationVersion_;
             QueueConfiguration queue;
             queue.name = "render";
             queue.host = "reports.example";
@@ -104,9 +105,18 @@
             queue.maximumAttempts = 3;
             queue.latencyTarget = Milliseconds { 2000 };
             configuration.queues.emplace(queue.name, queue);
+            if (!keysByAccount_.empty()) {
+                queue.name = "open";
+                queue.pathPrefix = "/open/";
+                queue.isPublic = true;
+                configuration.queues.emplace(queue.name, queue);
+                configuration.hasAccounts = true;
+                for (const auto& [name, keys] : keysByAccount_)
+                    configuration.accounts[name] = { name, { quotaMilliCores_, 0, 0 }, 0 };
+            }
             configuration.services[serviceName] = { serviceName, true, false };
             configuration.services[standbyServiceName] = { standbyServiceName, true, true };
-            auto record = platform::encodeConfiguration(configuration);
+            auto record = platform::encodeConfiguration(configuration, keysByAccount_);
             store_.put(platform::operatorPartition().topic, record.key, record.value);
         }
 
@@ -152,12 +162,28 @@
                 store_.faults().dropResponseEvery = 0;
             else if (command == "odd")
                 putOddEntries();
+            else if (command == "accounts" || command == "withdraw" || command == "quota")
+                changeAccounts(command);
+            else if (command == "reset")
+                statistics_.peakRunning = statistics_.running;
             respond({ 200,
                 json { { "starts", statistics_.starts }, { "twice", statistics_.duplicateRuns }, { "moves", moves_ },
-                    { "killed", killedRuns_ }, { "serving", runningWorkers() } }
+                    { "killed", killedRuns_ }, { "serving", runningWorkers() }, { "peak", statistics_.peakRunning } }
                     .dump() });
         }
 
+        void changeAccounts(const std::string& command)
+        {
+            static constexpr int64_t smallQuota = 3000; // thousandths of a core
+            if (command == "accounts")
+                keysByAccount_ = { { "team-a", { "kq7firsta", "kq7seconda" } }, { "team-b", { "kq7b" } } };
+            else if (command == "withdraw")
+                keysByAccount_["team-a"].erase(keysByAccount_["team-a"].begin());
+            else
+                quotaMilliCores_ = smallQuota;
+            publishConfiguration();
+        }
+
         // Entries of another writer in the registry: malformed ones, ones that name nothing that can be reached, and
         // more than a page of keys that are not URL-safe.
         void putOddEntries()
@@ -253,6 +279,9 @@
         std::map<std::string, Instance> instances_;
         RunStatistics statistics_;
         Instant nextHeartbeatAt_ {};
+        uint64_t configurationVersion_ = 0;
+        std::map<std::string, std::vector<std::string>> keysByAccount_; // empty: the configuration has no accounts
+        int64_t quotaMilliCores_ = 0; // of each account; 0: none
         uint64_t incarnations_ = 0;
         uint64_t moves_ = 0;
         uint64_t killedRuns_ = 0;
--- a/standin/WorkerStandIn.cpp
+++ b/standin/WorkerStandIn.cpp
@@ -50,6 +50,7 @@
     ends_.push_back({ ++lastEndNumber_, task, run->second.number, outcome });
     highestEndedRun_[task] = std::max(highestEndedRun_[task], run->second.number);
     --statistics_.runningCount[task];
+    --statistics_.running;
     runs_.erase(run);
 }
 
@@ -57,6 +58,7 @@
 {
     for (const auto& [task, run] : runs_)
         --statistics_.runningCount[task];
+    statistics_.running -= runs_.size();
     runs_.clear();
 }
 
@@ -87,6 +89,8 @@
     if (static_cast<int64_t>(runs_.size() + 1) * milliCoresPerTask > milliCores_)
         return rejection("room", clock(now));
     ++statistics_.starts;
+    statistics_.running += known == runs_.end() ? 1 : 0;
+    statistics_.peakRunning = std::max(statistics_.peakRunning, statistics_.running);
     if (++statistics_.runningCount[task] > 1 || statistics_.acknowledgedDone.count(task) != 0)
         ++statistics_.duplicateRuns;
     runs_[task] = { number, now, now + Milliseconds { workMilliseconds(call.at(names::payload).get<std::string>()) } };
--- a/standin/WorkerStandIn.h
+++ b/standin/WorkerStandIn.h
@@ -19,6 +19,8 @@
     uint64_t starts = 0;
     uint64_t duplicateRuns = 0; // starts of a task that was running elsewhere or whose end had been acknowledged
     uint64_t overCapacity = 0;
+    uint64_t running = 0; // on all workers now
+    uint64_t peakRunning = 0; // since it was last reset
 };
 
 // Simulates one worker: checks fencing tokens, ends its runs when the lease expires on its own clock, and reports
