Check a fleet's configuration before it is sent

Cause: operators learned of a queue that can never match, or of a key of two accounts, only once it was in force. Change: check-fleet-config FILE [FILE IN FORCE]: errors, warnings and changes, as text or JSON.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -89,6 +89,9 @@
     return "shallotdrift COMMAND [FLAGS]\n"
            "  node --settings=FILE                run an entry instance\n"
            "  check-config FILE ...               check settings files and handbook entries\n"
+           "  check-fleet-config FILE [FILE]      check a fleet's configuration (JSON) before it is sent, and list "
+           "what\n"
+           "                                      changes against the one in force, the second file\n"
            "  codes                               list the result codes\n";
 }
 
@@ -125,6 +128,11 @@
         { "node", runNodeCommand },
         { "codes", printCodes },
         { "help", printHelp },
+        { "check-fleet-config",
+            [](const Arguments& arguments) {
+                return exitStatusOf(
+                    runCheckFleetConfigCommand(withoutFirst(arguments), FLAGS_json, std::cout, std::cerr));
+            } },
         { "check-config",
             [](const Arguments& arguments) {
                 return exitStatusOf(runCheckConfigCommand(withoutFirst(arguments), std::cout, std::cerr));
--- a/shallotdrift/Node.h
+++ b/shallotdrift/Node.h
@@ -2,4 +2,5 @@
 // manager, the connections to workers, and the request router.
 #pragma once
 
+#include "src/Node/ConfigurationCheck.h"
 #include "src/Node/NodeProcess.h"
--- a/shallotdrift/src/Accounts/AccountKeys.cpp
+++ b/shallotdrift/src/Accounts/AccountKeys.cpp
@@ -1,5 +1,6 @@
 #include "AccountKeys.h"
 
+#include <algorithm>
 #include <cstring>
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
@@ -54,6 +55,20 @@
     ++ambiguousKeys_;
 }
 
+size_t AccountKeys::countOf(const std::string& account) const
+{
+    return static_cast<size_t>(
+        std::count_if(accounts_.begin(), accounts_.end(), [&](const auto& entry) { return entry.second == account; }));
+}
+
+size_t AccountKeys::countMissingIn(const AccountKeys& other, const std::string& account) const
+{
+    return static_cast<size_t>(std::count_if(accounts_.begin(), accounts_.end(), [&](const auto& entry) {
+        auto found = other.accounts_.find(entry.first);
+        return entry.second == account && (found == other.accounts_.end() || found->second != account);
+    }));
+}
+
 const std::string* AccountKeys::findAccount(std::string_view key) const
 {
     auto found = accounts_.find(digestOf(key));
--- a/shallotdrift/src/Accounts/AccountKeys.h
+++ b/shallotdrift/src/Accounts/AccountKeys.h
@@ -18,6 +18,9 @@
     const std::string* findAccount(std::string_view key) const;
 
     size_t size() const { return accounts_.size(); }
+    size_t countOf(const std::string& account) const;
+    // Number of keys that belong to the account here, but not there.
+    size_t countMissingIn(const AccountKeys& other, const std::string& account) const;
     size_t ambiguousKeys() const { return ambiguousKeys_; }
 
 private:
