Show the jobs of accounts on public queues to nobody else

Cause: a call on a public queue needs no key, and the owner looked for its job in all queues: without a key, a caller could read and cancel the jobs of any account of the same partition (found by a review). Change: a caller without an account reaches an account's job only through the job's own queue.

--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -44,13 +44,13 @@
     return ended->second.status;
 }
 
-const std::string* ServiceScheduler::accountOf(const std::string& id) const
+std::optional<ServiceScheduler::JobOrigin> ServiceScheduler::originOf(const std::string& id) const
 {
     auto found = jobs_.find(id);
     if (found != jobs_.end())
-        return &found->second.account();
+        return JobOrigin { found->second.account(), found->second.queue() };
     auto ended = ended_.find(id);
-    return ended == ended_.end() ? nullptr : &ended->second.account;
+    return ended == ended_.end() ? std::nullopt : std::optional(ended->second.origin);
 }
 
 bool ServiceScheduler::cancel(const std::string& id, const Now& now)
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -96,8 +96,12 @@
     // *started if the status is known: true if a worker has started a task of the job, or may have for the previous
     // owner.
     std::optional<JobStatus> statusOf(const std::string& id, bool* started = nullptr) const;
-    // The account of a job whose status is known; null for other jobs.
-    const std::string* accountOf(const std::string& id) const;
+    // Where a job came from whose status is known; nullopt for other jobs.
+    struct JobOrigin {
+        std::string account {}; // empty: none
+        std::string queue {}; // empty: not known any more
+    };
+    std::optional<JobOrigin> originOf(const std::string& id) const;
     // False if the job is unknown. An ended job keeps its status.
     bool cancel(const std::string& id, const Now&);
     // Number of active jobs of the queue that have not started, not counting recurring jobs.
@@ -200,7 +204,7 @@
         JobStatus status = JobStatus::Completed;
         bool started = false;
         WallTime endedAt {};
-        std::string account {};
+        JobOrigin origin {};
     };
 
     Worker& findOrAddWorker(const std::string& id);
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -223,22 +223,24 @@
     return false;
 }
 
-// The account of a job that is known; null if the job is unknown. An empty name: the job has none.
-const std::string* OwnedPartition::accountOf(const std::string& job) const
+std::optional<ServiceScheduler::JobOrigin> OwnedPartition::originOf(const std::string& job) const
 {
     for (const auto& [name, entry] : services_)
-        if (const auto* account = entry->scheduler.accountOf(job))
-            return account;
+        if (auto origin = entry->scheduler.originOf(job))
+            return origin;
     for (const auto& submission : submissions_)
         if (submission.job == job)
-            return &submission.account;
-    return nullptr;
+            return ServiceScheduler::JobOrigin { submission.account, submission.queue };
+    return std::nullopt;
 }
 
-// A job belongs to the account that submitted it. A job without one was submitted while its queue was open to everyone.
-static bool mayAccess(const OwnerRequest& request, const std::string* accountOfJob)
+// A job belongs to the account that submitted it. One without an account was submitted while its queue was open to
+// everyone. A caller without an account reaches an account's job only through its own queue, if that has become public.
+static bool mayAccess(const OwnerRequest& request, const std::optional<ServiceScheduler::JobOrigin>& origin)
 {
-    return !request.account || !accountOfJob || accountOfJob->empty() || *accountOfJob == *request.account;
+    if (!origin || origin->account.empty())
+        return true;
+    return request.account ? *request.account == origin->account : request.queue == origin->queue;
 }
 
 void OwnedPartition::handle(OwnerRequest&& request, ResponseCallback respond)
@@ -247,7 +249,7 @@
         respond({ notOwnerStatus });
         return;
     }
-    if (request.type != OwnerRequest::Type::Count && !mayAccess(request, accountOf(request.job))) {
+    if (request.type != OwnerRequest::Type::Count && !mayAccess(request, originOf(request.job))) {
         logger("owner")->info("request={} event=refused queue={} reason=other_account", request.job, request.queue);
         if (request.type == OwnerRequest::Type::Submit)
             respond(errorResponse(409, "the id cannot be used"));
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -86,7 +86,7 @@
     void logShortage(const Now&);
     void reportFenced(const char* by);
     bool hasJob(const std::string& job) const;
-    const std::string* accountOf(const std::string& job) const;
+    std::optional<ServiceScheduler::JobOrigin> originOf(const std::string& job) const;
 
     NodeContext& context_;
     uint32_t number_;
--- a/test/AccountSchedulingTest.cpp
+++ b/test/AccountSchedulingTest.cpp
@@ -124,10 +124,10 @@
         harness.failOver();
         for (const char* id : { "a", "b" }) {
             Section section(id);
-            CPPUNIT_ASSERT(harness.scheduler->accountOf(id));
-            CPPUNIT_ASSERT_EQUAL(std::string("team"), *harness.scheduler->accountOf(id));
+            CPPUNIT_ASSERT(harness.scheduler->originOf(id));
+            CPPUNIT_ASSERT_EQUAL(std::string("team"), harness.scheduler->originOf(id)->account);
         }
-        CPPUNIT_ASSERT(!harness.scheduler->accountOf("c"));
+        CPPUNIT_ASSERT(!harness.scheduler->originOf("c"));
     }
 
     // Load: five accounts use seven eighths of a service; one of them sends six times as much for 5 s.
