Let reservations bar only what they are meant to bar

Change: such tasks no longer count as too large; reservations are for tasks that could start; a search without a result is not repeated in a cycle; gangs use reserved room by the same rule; runs whose begin is not known teach nothing.

--- a/shallotdrift/src/Jobs/LookAhead.cpp
+++ b/shallotdrift/src/Jobs/LookAhead.cpp
@@ -16,7 +16,8 @@
     if (run.longRunning)
         return Instant::max();
     auto startedAt = run.confirmed ? run.confirmedAt : now.steady;
-    return RunTimes::expectedEnd(startedAt, run.expectedDuration, run.progressPercent, run.lastProgressAt, now.steady);
+    int progressPercent = run.startTimeKnown ? run.progressPercent : 0;
+    return RunTimes::expectedEnd(startedAt, run.expectedDuration, progressPercent, run.lastProgressAt, now.steady);
 }
 
 // The earliest time at which the worker has the room, as far as its runs end as expected; nullopt if it never has. Sets
@@ -40,27 +41,26 @@
     return std::nullopt;
 }
 
-// Reserves room for waiting tasks of a step on the workers that are expected to have it first.
+// Reserves room for the tasks of a step that could start now, on the workers that are expected to have it first.
 void ServiceScheduler::reserveRoom(
-    const Job& job, const Occurrence& occurrence, uint32_t step, const std::vector<Worker*>& workers, const Now& now)
+    const Job& job, const Occurrence& occurrence, uint32_t step, Candidates& candidates, const Now& now)
 {
     static constexpr size_t maximumTasksOfJob = 4;
     reservations_.activate(job.id());
     const auto& spec = job.spec().steps[step];
     auto needed = spec.reservedResources();
+    auto isDue = [&](const JobTask& task) { return task.state == TaskState::Waiting && task.notBefore <= now.steady; };
     const auto& tasks = occurrence.steps[step].tasks;
-    auto firstWaiting = std::find_if(
-        tasks.begin(), tasks.end(), [](const JobTask& task) { return task.state == TaskState::Waiting; });
-    if (firstWaiting == tasks.end())
+    auto firstDue = std::find_if(tasks.begin(), tasks.end(), isDue);
+    if (firstDue == tasks.end() || candidates.isUnreservable(needed) || !withinQuota(job, spec.taskResources))
         return;
-    TaskId id { job.id(), occurrence.number, step, static_cast<uint32_t>(firstWaiting - tasks.begin()) };
-    auto waiting = static_cast<size_t>(std::count_if(
-        tasks.begin(), tasks.end(), [](const JobTask& task) { return task.state == TaskState::Waiting; }));
+    TaskId id { job.id(), occurrence.number, step, static_cast<uint32_t>(firstDue - tasks.begin()) };
+    auto due = static_cast<size_t>(std::count_if(tasks.begin(), tasks.end(), isDue));
     for (size_t count = reservations_.countOf(job.id());
-         count < std::min(waiting, maximumTasksOfJob) && reservations_.size() < options_.maximumReservations; ++count) {
+         count < std::min(due, maximumTasksOfJob) && reservations_.size() < options_.maximumReservations; ++count) {
         const Worker* best = nullptr;
         Reservations::Reservation reservation;
-        for (const auto* worker : workers) {
+        for (const auto* worker : candidates.workers) {
             Resources free;
             if (reservations_.hasReservation(worker->info.id) || !hasPlaceFor(*worker, spec, id))
                 continue;
@@ -70,8 +70,11 @@
             best = worker;
             reservation = { job.id(), *at, free - needed, true };
         }
-        if (!best)
+        if (!best) {
+            if (spec.requiredLabel.empty() && spec.maximumTasksPerWorker == 0)
+                candidates.unreservable.push_back(needed);
             return;
+        }
         reservations_.add(best->info.id, std::move(reservation));
     }
 }
--- a/shallotdrift/src/Jobs/Placement.cpp
+++ b/shallotdrift/src/Jobs/Placement.cpp
@@ -128,7 +128,7 @@
 // Best fit: packs the workers one after another, so that whole instances become free for other pools. Serving and
 // best-effort tasks interfere with each other and are spread instead. Null if no worker fits.
 Worker* ServiceScheduler::chooseWorker(
-    const StepSpec& spec, const TaskId& id, const std::vector<Worker*>& workers, Instant endsAt) const
+    const StepSpec& spec, const TaskId& id, const std::vector<Worker*>& workers, Instant endsAt, bool* barred) const
 {
     auto needed = spec.reservedResources();
     Worker* best = nullptr;
@@ -141,9 +141,13 @@
             available += ownHold->resources;
         if (spec.bestEffort) // needs no cores, also where more are held than are free
             available.milliCores = std::max<int64_t>(available.milliCores, 0);
-        if (!needed.fitsIn(available) || !hasPlaceFor(*worker, spec, id)
-            || !reservations_.allows(worker->info.id, id.job, needed, endsAt))
+        if (!needed.fitsIn(available) || !hasPlaceFor(*worker, spec, id))
             continue;
+        if (!reservations_.allows(worker->info.id, id.job, needed, endsAt)) {
+            if (barred)
+                *barred = true;
+            continue;
+        }
         bool remoteData = !spec.dataRack.empty() && !hasLabel(*worker, spec.dataRack);
         // Maintenance would soon evict a long-running task again, and few tasks of a step may be unavailable at once.
         double interference = spec.longRunning && worker->maintenanceDue ? 100 : 0;
@@ -167,8 +171,8 @@
 }
 
 // Places all tasks of a gang or none. They share a run number and a checkpoint.
-bool ServiceScheduler::placeGang(
-    Job& job, Occurrence& occurrence, uint32_t step, std::vector<Worker*>& workers, std::vector<StartOrder>& orders)
+bool ServiceScheduler::placeGang(Job& job, Occurrence& occurrence, uint32_t step, std::vector<Worker*>& workers,
+    std::vector<StartOrder>& orders, const Now& now)
 {
     const auto& spec = job.spec().steps[step];
     auto& tasks = occurrence.steps[step].tasks;
@@ -185,11 +189,12 @@
         needed += spec.taskResources;
     if (!withinQuota(job, needed))
         return false;
+    auto endsAt = now.steady + runTimes_.predict(kindOf(job, step), spec.estimatedDuration);
     auto tryPlace = [&](const std::vector<Worker*>& candidates) {
         std::vector<std::pair<Worker*, TaskId>> placed;
         for (uint32_t index = 0; index < tasks.size(); ++index) {
             TaskId id { job.id(), occurrence.number, step, index };
-            auto* worker = chooseWorker(spec, id, candidates);
+            auto* worker = chooseWorker(spec, id, candidates, endsAt);
             if (!worker)
                 break;
             assign(*worker, id, tasks[index], spec, run + 1);
@@ -221,15 +226,27 @@
     }
     if (!placedInRack && !tryPlace(workers))
         return false;
-    for (uint32_t index = 0; index < tasks.size(); ++index)
+    for (uint32_t index = 0; index < tasks.size(); ++index) {
+        reservations_.onPlaced(tasks[index].worker, job.id(), spec.reservedResources(), endsAt);
         orders.push_back(makeStartOrder(job, { job.id(), occurrence.number, step, index }, tasks[index]));
+    }
     return true;
 }
 
-bool ServiceScheduler::Candidates::isTooLarge(const Resources& needed) const
+static bool includesSmaller(const std::vector<Resources>& requests, const Resources& needed)
 {
     return std::any_of(
-        tooLarge.begin(), tooLarge.end(), [&](const Resources& smaller) { return smaller.fitsIn(needed); });
+        requests.begin(), requests.end(), [&](const Resources& smaller) { return smaller.fitsIn(needed); });
+}
+
+bool ServiceScheduler::Candidates::isTooLarge(const Resources& needed) const
+{
+    return includesSmaller(tooLarge, needed);
+}
+
+bool ServiceScheduler::Candidates::isUnreservable(const Resources& needed) const
+{
+    return includesSmaller(unreservable, needed);
 }
 
 void ServiceScheduler::placeStep(Job& job, Occurrence& occurrence, uint32_t step, Candidates& candidates,
@@ -241,7 +258,7 @@
         bool waiting = std::all_of(tasks.begin(), tasks.end(),
             [&](const JobTask& task) { return task.state == TaskState::Waiting && task.notBefore <= now.steady; });
         if (waiting)
-            placeGang(job, occurrence, step, candidates.workers, orders);
+            placeGang(job, occurrence, step, candidates.workers, orders, now);
         return;
     }
     if (spec.longRunning) {
@@ -254,7 +271,7 @@
     bool resourcesOnly = !spec.bestEffort && spec.requiredLabel.empty() && spec.maximumTasksPerWorker == 0;
     if (resourcesOnly && candidates.isTooLarge(spec.taskResources)) {
         if (reserves)
-            reserveRoom(job, occurrence, step, candidates.workers, now);
+            reserveRoom(job, occurrence, step, candidates, now);
         return;
     }
     for (uint32_t index = 0; index < tasks.size(); ++index) {
@@ -264,12 +281,13 @@
         if (!withinQuota(job, spec.taskResources))
             return;
         TaskId id { job.id(), occurrence.number, step, index };
-        auto* worker = chooseWorker(spec, id, candidates.workers, endsAt);
+        bool barred = false;
+        auto* worker = chooseWorker(spec, id, candidates.workers, endsAt, &barred);
         if (!worker) {
-            if (resourcesOnly)
+            if (resourcesOnly && !barred)
                 candidates.tooLarge.push_back(spec.taskResources);
             if (reserves)
-                reserveRoom(job, occurrence, step, candidates.workers, now);
+                reserveRoom(job, occurrence, step, candidates, now);
             return;
         }
         assign(*worker, id, task, spec, task.runNumber + 1);
@@ -338,7 +356,7 @@
     unplaced_.clear();
     renewReservations(now);
     planEvictions(now);
-    Candidates candidates { schedulableWorkers(now.steady), {} };
+    Candidates candidates { schedulableWorkers(now.steady), {}, {} };
     if (candidates.workers.empty())
         return orders;
     for (auto* job : jobsInSchedulingOrder(now))
--- a/shallotdrift/src/Jobs/ServiceScheduler.cpp
+++ b/shallotdrift/src/Jobs/ServiceScheduler.cpp
@@ -346,7 +346,7 @@
     auto* task = job ? job->findTask(ended.task) : nullptr;
     auto run = worker.runs.find(ended.task);
     if (task && ended.outcome == RunOutcome::Completed && run != worker.runs.end() && run->second.confirmed
-        && run->second.number == ended.runNumber && !run->second.longRunning)
+        && run->second.number == ended.runNumber && !run->second.longRunning && run->second.startTimeKnown)
         runTimes_.record(kindOf(*job, ended.task.step), run->second.estimatedDuration,
             std::chrono::duration_cast<Milliseconds>(now.steady - run->second.confirmedAt));
     if (task && task->runNumber == ended.runNumber)
@@ -504,6 +504,7 @@
     if (refusal == StartRefusal::None || refusal == StartRefusal::StaleRun) {
         // A stale run has already ended on the worker; the next report shows its outcome.
         run->startUncertain = false;
+        run->startTimeKnown = refusal == StartRefusal::None;
         run->confirmed = true;
         run->confirmedAt = now.steady;
         run->lastProgressAt = now.steady;
@@ -646,7 +647,7 @@
     }
     for (const auto& id : endedJobs) {
         const auto& job = jobs_.at(id);
-        ended_[id] = { job.status(), job.started(), job.endedAt(), job.account() };
+        ended_[id] = { job.status(), job.started(), job.endedAt(), { job.account(), job.queue() } };
         endedByExpiry_[job.endedAt() + options_.statusRetention].push_back(id);
         jobs_.erase(id);
     }
@@ -680,7 +681,7 @@
 
 void ServiceScheduler::restoreEnded(const Job& job)
 {
-    ended_[job.id()] = { job.status(), job.started(), job.endedAt(), job.account() };
+    ended_[job.id()] = { job.status(), job.started(), job.endedAt(), { job.account(), job.queue() } };
     endedByExpiry_[job.endedAt() + options_.statusRetention].push_back(job.id());
 }
 
@@ -697,6 +698,7 @@
             auto& run = worker.runs.at(taskId);
             run.startSent = true;
             run.doubtfulSinceTakeover = ledger_.restoreStart(task.startNumber);
+            run.startTimeKnown = false;
             run.confirmed = true; // the first report under this owner's fencing token shows whether the run is active
             run.confirmedAt = now.steady;
             run.lastProgressAt = now.steady;
--- a/shallotdrift/src/Jobs/ServiceScheduler.h
+++ b/shallotdrift/src/Jobs/ServiceScheduler.h
@@ -239,22 +239,25 @@
     struct Candidates {
         std::vector<Worker*> workers;
         std::vector<Resources> tooLarge;
+        std::vector<Resources> unreservable; // requests for which no worker is expected to have room
         // True if a smaller or equal request did not fit.
         bool isTooLarge(const Resources&) const;
+        bool isUnreservable(const Resources&) const;
     };
     void resendStarts(std::vector<StartOrder>&, const Now&);
     void placeJob(Job&, Candidates&, std::vector<StartOrder>&, const Now&);
     void placeStep(Job&, Occurrence&, uint32_t step, Candidates&, std::vector<StartOrder>&, const Now&);
     void placeLongRunningStep(
         Job&, Occurrence&, uint32_t step, const std::vector<Worker*>&, std::vector<StartOrder>&, const Now&);
-    bool placeGang(Job&, Occurrence&, uint32_t step, std::vector<Worker*>&, std::vector<StartOrder>&);
+    bool placeGang(Job&, Occurrence&, uint32_t step, std::vector<Worker*>&, std::vector<StartOrder>&, const Now&);
     // A short task is expected to end at endsAt, by which it may use room that is reserved from then on.
-    Worker* chooseWorker(
-        const StepSpec&, const TaskId&, const std::vector<Worker*>&, Instant endsAt = Instant::max()) const;
+    // Sets *barred if only a reservation kept the task from a worker.
+    Worker* chooseWorker(const StepSpec&, const TaskId&, const std::vector<Worker*>&, Instant endsAt = Instant::max(),
+        bool* barred = nullptr) const;
     static std::string kindOf(const Job&, uint32_t step);
     Instant expectedEnd(const Worker::Run&, const Now&) const;
     std::optional<Instant> expectedRoomAt(const Worker&, const Resources& needed, const Now&, Resources* free) const;
-    void reserveRoom(const Job&, const Occurrence&, uint32_t step, const std::vector<Worker*>&, const Now&);
+    void reserveRoom(const Job&, const Occurrence&, uint32_t step, Candidates&, const Now&);
     void renewReservations(const Now&);
     bool hasPlaceFor(const Worker&, const StepSpec&, const TaskId&) const;
     void holdRoom(const StepSpec&, const TaskId&, const std::vector<Worker*>&);
--- a/shallotdrift/src/Jobs/Worker.h
+++ b/shallotdrift/src/Jobs/Worker.h
@@ -32,6 +32,7 @@
         bool doubtfulSinceTakeover = false; // the previous owner may have had no response to its start order
         bool confirmed = false; // a response covers this run, so reports requested after confirmedAt show its state
         Instant confirmedAt {};
+        bool startTimeKnown = true; // confirmedAt is about when the run began; not so for runs of the previous owner
         Instant resendAt {}; // when to resend a start order that got no response
         bool stopRequested = false;
         Instant stopSentAt {};
