Add tests with crowds of clients that misbehave

Change: the stand-in has a role crowd, which opens many connections of one kind: bodies that stop just short of their end (whole, in pieces, in chunks), far too large ones, many short fields, many requests in advance, slow senders, slow readers, half-way stops; as HTTP/1.1 or as calls of operators. test/processes/misbehaving-clients sends each kind to each listener of an entry instance with lowered limits: 300 connections, at most 50 MB and 300 descriptors, which is 100 MB of 160 MB for 600 connections, in proportion. The settings of the limits ([machine] memory_mb and descriptors, [clients]) are read and have no effect yet; a filled-in deploy/node.ini gives the first two.

--- a/shallotdrift/src/Settings/NodeSettings.cpp
+++ b/shallotdrift/src/Settings/NodeSettings.cpp
@@ -52,6 +52,22 @@
                     "CPU cores of the instance, for example 0.5; 0 when unknown" },
                 { "link_mbps", &S::linkMbps, F::decimal(0, 1000000), optional,
                     "bandwidth of the instance's network link in Mbit/s; 0 when unknown" },
+                { "memory_mb", &S::memoryMegabytes, F::integer(0, 10000000, "MB"), optional,
+                    "memory that the process may use; 0 when unknown" },
+                { "descriptors", &S::descriptors, F::integer(0, 10000000), optional,
+                    "number of descriptors that the process may open; 0 when unknown" },
+            } },
+        { "clients",
+            {
+                { "memory_share", &S::connectionMemoryShare, F::decimal(0.01, 0.9), optional,
+                    "share of the machine's memory_mb that the connections of clients and other entry instances may "
+                    "hold; a machine of unknown memory counts as one of 160 MB" },
+                { "connections", &S::clientConnections, F::integer(1, 1000000), optional,
+                    "maximum number of connections of clients; fewer if the machine's descriptors do not suffice" },
+                { "header_fields", &S::headerFields, F::integer(16, 100000), optional,
+                    "maximum number of header fields of a request" },
+                { "stall_ms", &S::stallTimeout, F::integer(100, 600000, "ms"), optional,
+                    "while memory is short, a request of which too little has arrived for this time is refused" },
             } },
         { "ownership",
             {
@@ -151,7 +167,7 @@
             internal::readSection(section, schema->keys, settings, errors);
         else
             errors.add(section,
-                "unknown section; known sections are [node], [store], [machine], [ownership], [operators], "
+                "unknown section; known sections are [node], [store], [machine], [clients], [ownership], [operators], "
                 "[instances], [planning], [advice] and [bounds]");
     }
     for (const auto& schema : schemas)
--- a/shallotdrift/src/Settings/NodeSettings.h
+++ b/shallotdrift/src/Settings/NodeSettings.h
@@ -30,6 +30,14 @@
     // [machine]: resources of the instance; 0 when unknown
     double cpuShare = 0; // in cores
     double linkMbps = 0;
+    uint32_t memoryMegabytes = 0;
+    uint32_t descriptors = 0;
+
+    // [clients]: limits on what clients can make the process hold
+    double connectionMemoryShare = 0.2; // of memoryMegabytes, for the connections of all HTTP listeners
+    uint32_t clientConnections = 2000;
+    uint32_t headerFields = 256;
+    Milliseconds stallTimeout { 1000 };
 
     // [ownership]: an instance below one of these minimums owns partitions only while no other instance does
     double minimumCpuShare = 0.2; // in cores; a load peak of one service needs 0.15
--- a/standin/Roles.h
+++ b/standin/Roles.h
@@ -5,6 +5,8 @@
 
 // Forwards TCP connections. Requests to its control server reset them or drop their traffic.
 int runRelayRole();
+// Opens many connections that misbehave as clients. Ends by itself after a given time.
+int runCrowdRole();
 // Simulates the platform: its store, its workers and the API of their instances.
 int runPlatformRole();
 
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -9,9 +9,11 @@
 int main(int argc, char** argv)
 {
     using namespace shallotdrift::standin; // NOLINT(google-build-using-namespace)
-    gflags::SetUsageMessage("shallotdrift-standin ROLE [FLAGS]; roles: relay (TCP relay), users (platform simulator)");
+    gflags::SetUsageMessage("shallotdrift-standin ROLE [FLAGS]; roles: crowd (misbehaving clients), "
+                            "relay (TCP relay), users (platform simulator)");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     static const std::map<std::string, std::function<int()>> roles {
+        { "crowd", runCrowdRole },
         { "relay", runRelayRole },
         { "users", runPlatformRole },
     };
