Limit the number of header fields, and announce what a reader allocates

Cause: a head of legal size may have 4,000 empty fields, which take 64 bytes each and more while the list grows. A body is kept before anything can decide whether it is wanted, and nothing says how much memory a reader is about to take. Change: HttpReader refuses more than maximumHeaderFields fields (431), can stop after the head, can drop a body, and tells what it holds and what the next bytes may add.

--- a/shallotdrift/src/Http/HttpReader.cpp
+++ b/shallotdrift/src/Http/HttpReader.cpp
@@ -9,12 +9,18 @@
 // end.
 static constexpr size_t headerLineOverhead = 4;
 
+// A header line without a value, as short as the parser accepts it.
+static constexpr size_t minimumFieldBytes = 3;
+// A string that grows allocates up to twice its length.
+static constexpr size_t stringOverhead = 2;
+
 struct HttpReader::Callbacks {
     static HttpReader& self(http_parser* parser) { return *static_cast<HttpReader*>(parser->data); }
 
     static int url(http_parser* parser, const char* at, size_t length)
     {
         self(parser).message_.target.append(at, length);
+        self(parser).textBytes_ += length;
         return self(parser).countHeaderBytes(length);
     }
     static int field(http_parser* parser, const char* at, size_t length)
@@ -61,7 +67,10 @@
     messageStarted_ = false;
     headersComplete_ = false;
     inHeaderValue_ = false;
+    keepsBody_ = true;
     headerBytes_ = 0;
+    textBytes_ = 0;
+    droppedBytes_ = 0;
     message_ = {};
 }
 
@@ -82,6 +91,43 @@
     return used;
 }
 
+void HttpReader::resume()
+{
+    if (state_ != State::Head)
+        return;
+    state_ = State::Reading;
+    http_parser_pause(&parser_, 0);
+}
+
+size_t HttpReader::remainingBytes() const
+{
+    // The parser counts down the length while it reads the body.
+    return headersComplete_ && message_.hasContentLength ? parser_.content_length : SIZE_MAX;
+}
+
+size_t HttpReader::heldBytes() const
+{
+    return message_.headers.capacity() * sizeof(HttpHeader) + stringOverhead * textBytes_ + message_.body.capacity();
+}
+
+size_t HttpReader::growthOf(size_t bytes) const
+{
+    if (!headersComplete_) {
+        auto headBytes = std::min(bytes, limits_.maximumHeaderBytes);
+        auto fields
+            = std::min(limits_.maximumHeaderFields, message_.headers.size() + headBytes / minimumFieldBytes + 1);
+        return stringOverhead * headBytes + 2 * fields * sizeof(HttpHeader);
+    }
+    if (!keepsBody_)
+        return 0;
+    // Memory for a body of known length is allocated at its first byte.
+    if (message_.hasContentLength)
+        return message_.body.empty() ? parser_.content_length : 0;
+    // A body of unknown length grows to at most twice its size.
+    auto size = message_.body.size() + bytes;
+    return size <= message_.body.capacity() ? 0 : 2 * size;
+}
+
 const char* HttpReader::failureText() const
 {
     switch (failure_) {
@@ -121,9 +167,13 @@
 int HttpReader::addHeaderField(std::string_view text)
 {
     if (!headersComplete_) { // trailer fields are dropped, but count towards the limit
-        if (inHeaderValue_ || message_.headers.empty())
+        if (inHeaderValue_ || message_.headers.empty()) {
+            if (message_.headers.size() == limits_.maximumHeaderFields)
+                return failWith(Failure::HeaderTooLarge);
             message_.headers.emplace_back();
+        }
         message_.headers.back().name.append(text);
+        textBytes_ += text.size();
         inHeaderValue_ = false;
     }
     return countHeaderBytes(text.size() + headerLineOverhead);
@@ -133,6 +183,7 @@
 {
     if (!headersComplete_) {
         message_.headers.back().value.append(text);
+        textBytes_ += text.size();
         inHeaderValue_ = true;
     }
     return countHeaderBytes(text.size());
@@ -151,6 +202,10 @@
         failWith(Failure::Malformed);
     else if (message_.hasContentLength && parser_.content_length > limits_.maximumBodyBytes)
         failWith(Failure::BodyTooLarge);
+    else if (stopsAfterHead_ && !parser_.upgrade) {
+        state_ = State::Head;
+        http_parser_pause(&parser_, 1);
+    }
     // A return value other than 0, 1 and 2 stops http_parser; 1 would only make it skip the body.
     return state_ == State::Failed ? -1 : 0;
 }
@@ -166,8 +221,12 @@
 
 int HttpReader::addBody(std::string_view text)
 {
-    if (message_.body.size() + text.size() > limits_.maximumBodyBytes)
+    if (message_.body.size() + droppedBytes_ + text.size() > limits_.maximumBodyBytes)
         return failWith(Failure::BodyTooLarge);
+    if (!keepsBody_) {
+        droppedBytes_ += text.size();
+        return 0;
+    }
     if (message_.body.empty() && message_.hasContentLength)
         message_.body.reserve(parser_.content_length + text.size());
     message_.body.append(text);
