Account for the memory and the places that connections hold

Cause: each connection of each HTTP listener may hold a body of legal size, a head of many times its size and 128 KB of requests in advance, for 3 s and then again; 2,000 connections a listener may be open whatever the machine's descriptors and memory; a body is read at paths that take none, at ready and at metrics; freed memory stays with the process. Change: ConnectionBudget holds one account a connection, charged before memory is allocated and shared by all HTTP listeners, with parts reserved for peers, readiness checks and metrics. It follows from [machine] memory_mb and descriptors and from [clients]. When it is short, requests in advance are not read, then the connections that hold most for longest without progress are refused as not run, first of the client address that holds most; accepted requests never are. HttpServer calls a head handler before it keeps a body; RequestRouter::checkHead answers what needs none. Metrics by listener and reason, and one log line a second of what was shed. An aborted accept of a destroyed server no longer touches it.

--- a/shallotdrift/src/Http/HttpServer.cpp
+++ b/shallotdrift/src/Http/HttpServer.cpp
@@ -4,12 +4,14 @@
 #include "Address.h"
 #include "HttpHead.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
 #include <exception>
+#include <optional>
 #include <unordered_set>
 
 namespace shallotdrift {
@@ -22,7 +24,15 @@
 // input, which would reset the connection.
 static constexpr Milliseconds lingerTimeout { 500 };
 // Limit on buffered bytes of pipelined requests; above it, the server stops reading from the connection.
-static constexpr size_t maximumPipelinedBytes = 64 << 10;
+static constexpr size_t maximumPipelinedBytes = 16 << 10;
+// What is read at once unless the rest of a body is known to be longer; the remainder belongs to later requests.
+static constexpr size_t headReadBytes = 16 << 10;
+// Memory of a connection that holds no request, with its socket.
+static constexpr size_t connectionBytes = 2 << 10;
+// Copies of an accepted body that a handler makes beside the body itself, for example to forward it.
+static constexpr size_t bodyCopies = 2;
+// After this time a refused request succeeds unless memory is still short.
+static constexpr char retryAfterSeconds[] = "1";
 
 // Response when a handler has failed with an exception: the request may have taken effect in part. 504 Gateway Timeout
 // leaves the outcome open, unlike 500 or 503.
@@ -36,6 +46,9 @@
         DeadlineQueue& deadlines;
         HttpServerOptions options;
         HttpServer::Handler handler;
+        HttpServer::HeadHandler headHandler;
+        std::shared_ptr<ConnectionBudget> budget;
+        ConnectionBudget::Part part;
         bool draining = false;
         size_t openRequests = 0;
         std::unordered_set<std::shared_ptr<Session>> sessions {};
@@ -43,17 +56,25 @@
     };
 
     // Connection of one client.
-    class Session : public std::enable_shared_from_this<Session>, public DeadlineHandler {
+    class Session : public std::enable_shared_from_this<Session>,
+                    public DeadlineHandler,
+                    private ConnectionBudget::Account {
     public:
-        Session(tcp::socket socket, ServerState& shared)
-            : socket_(std::move(socket))
+        using Activity = ConnectionBudget::Activity;
+        using ShedReason = ConnectionBudget::ShedReason;
+
+        Session(tcp::socket socket, const std::string& clientAddress, ServerState& shared)
+            : Account(shared.part, clientAddress, BootClock::now())
+            , socket_(std::move(socket))
             , shared_(shared)
             , reader_(HttpReader::Type::Request, shared.options.limits)
         {
+            reader_.stopAfterHead();
         }
 
         void start()
         {
+            settleAccount();
             shared_.deadlines.set(*this, BootClock::now() + shared_.options.idleTimeout);
             read();
         }
@@ -72,6 +93,8 @@
             if (state_ == State::Processing || state_ == State::Writing)
                 --shared_.openRequests;
             state_ = State::Closed;
+            reader_.takeMessage();
+            Account::close();
             shared_.deadlines.remove(*this);
             std::error_code ignored;
             socket_.close(ignored);
@@ -81,9 +104,37 @@
     private:
         enum class State : uint8_t { Reading, Processing, Writing, Lingering, Closed };
 
+        size_t heldBytes() const
+        {
+            return connectionBytes + reader_.heldBytes() + acceptedBytes_ + pipelined_.capacity() + output_.capacity();
+        }
+        bool charge(size_t additionalBytes) { return resize(heldBytes() + additionalBytes, BootClock::now()); }
+        void settleAccount() { settle(heldBytes()); }
+
+        // The number of bytes to read next; 0: none for now.
+        size_t readLimit() const
+        {
+            switch (state_) {
+            case State::Reading:
+                return reader_.headersComplete() && reader_.remainingBytes() != SIZE_MAX
+                    ? std::min(std::max<size_t>(reader_.remainingBytes(), 1), shared_.readBuffer.size())
+                    : headReadBytes;
+            case State::Processing:
+            case State::Writing:
+                if (!keepAlive_) // what follows is not kept
+                    return shared_.readBuffer.size();
+                return maximumPipelinedBytes - std::min(pipelined_.size(), maximumPipelinedBytes);
+            case State::Lingering:
+                return shared_.readBuffer.size();
+            case State::Closed:
+                break;
+            }
+            return 0;
+        }
+
         void read()
         {
-            if (reading_ || state_ == State::Closed || pipelined_.size() > maximumPipelinedBytes)
+            if (reading_ || readLimit() == 0)
                 return;
             reading_ = true;
             socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](std::error_code error) {
@@ -96,7 +147,12 @@
         void onReadable()
         {
             std::error_code error;
-            size_t length = socket_.read_some(asio::buffer(shared_.readBuffer), error);
+            auto limit = readLimit();
+            bool ahead = keepAlive_ && (state_ == State::Processing || state_ == State::Writing);
+            // Requests in advance are left to the system's buffer while memory is short.
+            if (limit == 0 || (ahead && !resizeIfFree(heldBytes() + 2 * (pipelined_.size() + limit))))
+                return;
+            size_t length = socket_.read_some(asio::buffer(shared_.readBuffer, limit), error);
             if (error == asio::error::would_block || error == asio::error::try_again) {
                 read();
                 return;
@@ -108,22 +164,104 @@
             std::string_view bytes(shared_.readBuffer.data(), length);
             if (state_ == State::Reading)
                 consume(bytes);
-            else if (state_ != State::Lingering)
+            else if (ahead)
                 pipelined_.append(bytes);
+            if (state_ != State::Closed)
+                settleAccount();
             read();
         }
 
         void consume(std::string_view bytes)
         {
-            bool started = reader_.messageStarted();
-            size_t used = reader_.feed(bytes);
-            if (!started && reader_.messageStarted())
-                shared_.deadlines.set(*this, BootClock::now() + shared_.options.readTimeout);
-            if (reader_.state() == HttpReader::State::Complete) {
-                pipelined_.assign(bytes.substr(used));
-                dispatch();
-            } else if (reader_.state() == HttpReader::State::Failed)
-                rejectRequest();
+            auto now = BootClock::now();
+            if (!reader_.messageStarted()) {
+                requestStartedAt_ = now;
+                setActivity(Activity::Reading, now);
+                setReadDeadline(now);
+            }
+            onReceived(bytes.size(), now);
+            while (!bytes.empty() && state_ == State::Reading) {
+                if (!charge(reader_.growthOf(bytes.size()))) {
+                    shared_.budget->countShed(ShedReason::Refused);
+                    refuse();
+                    return;
+                }
+                bytes.remove_prefix(reader_.feed(bytes));
+                settleAccount();
+                if (reader_.state() == HttpReader::State::Head)
+                    onHead();
+                else if (reader_.state() == HttpReader::State::Complete) {
+                    keepAhead(bytes);
+                    dispatch();
+                } else if (reader_.state() == HttpReader::State::Failed)
+                    rejectRequest();
+            }
+            if (state_ == State::Reading && headResponse_)
+                finishEarly(std::move(*headResponse_));
+        }
+
+        void onHead()
+        {
+            const auto& head = reader_.message();
+            if (shared_.headHandler) {
+                try {
+                    headResponse_ = shared_.headHandler(head);
+                } catch (const std::exception& error) {
+                    onUnexpectedError(head.method + ' ' + head.target, error);
+                    headResponse_ = notRun();
+                }
+            }
+            if (headResponse_ || (head.method != "POST" && head.method != "PUT"))
+                reader_.dropBody();
+            reader_.resume();
+        }
+
+        // Without memory for requests in advance, they are dropped together with the connection.
+        void keepAhead(std::string_view bytes)
+        {
+            if (bytes.empty())
+                return;
+            if (resizeIfFree(heldBytes() + bytes.size()))
+                pipelined_.assign(bytes);
+            else
+                dropsAhead_ = true;
+        }
+
+        // Sends a response before the request has been read whole; the rest is not kept.
+        void finishEarly(HttpResponse&& response)
+        {
+            keepAlive_ = false;
+            state_ = State::Processing;
+            ++shared_.openRequests;
+            reader_.takeMessage();
+            write(std::move(response));
+        }
+
+        // The request has not run, and never will.
+        void refuse() { finishEarly(notRun()); }
+
+        static HttpResponse notRun() { return { 503, {}, "text/plain", { { "Retry-After", retryAfterSeconds } } }; }
+
+        // The exception is thrown again from the event loop, so that it leaves this connection alone.
+        void onUnexpectedError(const std::string& request, const std::exception& error)
+        {
+            logger("http")->error("request=\"{}\" event=unexpected_error reason=\"{}\"", request, error.what());
+            asio::post(socket_.get_executor(), [thrown = std::current_exception()] { std::rethrow_exception(thrown); });
+        }
+
+        void shed(ShedReason reason) override
+        {
+            if (state_ == State::Reading && reader_.messageStarted() && reason != ShedReason::Connections)
+                refuse();
+            else
+                close();
+        }
+
+        // While memory is short, a request has to make progress within the stall timeout.
+        void setReadDeadline(Instant now)
+        {
+            auto end = requestStartedAt_ + shared_.options.readTimeout;
+            shared_.deadlines.set(*this, std::min(end, now + shared_.budget->stallTimeout()));
         }
 
         void rejectRequest()
@@ -131,10 +269,7 @@
             unsigned status = reader_.failure() == HttpReader::Failure::BodyTooLarge ? 413
                 : reader_.failure() == HttpReader::Failure::HeaderTooLarge           ? 431
                                                                                      : 400;
-            keepAlive_ = false;
-            state_ = State::Processing;
-            ++shared_.openRequests;
-            write({ status, {}, "text/plain" });
+            finishEarly({ status, {}, "text/plain" });
         }
 
         void dispatch()
@@ -143,7 +278,23 @@
             ++shared_.openRequests;
             ++requestNumber_;
             shared_.deadlines.set(*this, Instant::max());
-            keepAlive_ = reader_.message().keepAlive;
+            keepAlive_ = reader_.message().keepAlive && !dropsAhead_;
+            if (headResponse_) {
+                reader_.takeMessage();
+                auto response = std::move(*headResponse_);
+                headResponse_.reset();
+                write(std::move(response));
+                return;
+            }
+            acceptedBytes_ = reader_.heldBytes() + bodyCopies * reader_.message().body.size();
+            if (!charge(0)) {
+                keepAlive_ = false;
+                reader_.takeMessage();
+                shared_.budget->countShed(ShedReason::Refused);
+                write(notRun());
+                return;
+            }
+            setActivity(Activity::Accepted, BootClock::now());
             HttpServer::ResponseCallback respond
                 = [weak = weak_from_this(), number = requestNumber_](HttpResponse&& response) {
                       auto self = weak.lock();
@@ -151,15 +302,13 @@
                           self->write(std::move(response));
                   };
             auto message = reader_.takeMessage();
+            settleAccount();
             auto line = message.method + ' ' + message.target;
             try {
                 shared_.handler(std::move(message), respond);
             } catch (const std::exception& error) {
-                logger("http")->error("request=\"{}\" event=unexpected_error reason=\"{}\"", line, error.what());
                 respond({ unknownOutcomeStatus });
-                // Thrown again from the event loop, so that it leaves this connection alone.
-                asio::post(
-                    socket_.get_executor(), [thrown = std::current_exception()] { std::rethrow_exception(thrown); });
+                onUnexpectedError(line, error);
             }
         }
 
@@ -175,7 +324,10 @@
             if (!keepAlive_)
                 head.add("Connection", std::string_view("close"));
             head.add("Content-Length", response.body.size());
+            acceptedBytes_ = 0;
             output_ = head.finish() + response.body;
+            setActivity(Activity::Writing, BootClock::now());
+            settleAccount();
             shared_.deadlines.set(*this, BootClock::now() + shared_.options.idleTimeout);
             asio::async_write(
                 socket_, asio::buffer(output_), [self = shared_from_this()](std::error_code error, size_t) {
@@ -192,8 +344,12 @@
         {
             --shared_.openRequests;
             output_ = {};
+            headResponse_.reset();
+            setActivity(Activity::Idle, BootClock::now());
             if (!keepAlive_) {
                 state_ = State::Lingering;
+                pipelined_ = {};
+                settleAccount();
                 std::error_code ignored;
                 socket_.shutdown(tcp::socket::shutdown_send, ignored);
                 shared_.deadlines.set(*this, BootClock::now() + lingerTimeout);
@@ -207,16 +363,22 @@
                 pipelined_ = {};
                 consume(bytes);
             }
+            if (state_ != State::Closed)
+                settleAccount();
             read();
         }
 
         void onDeadline() override
         {
             if (state_ == State::Reading && reader_.messageStarted()) {
-                keepAlive_ = false;
-                state_ = State::Processing;
-                ++shared_.openRequests;
-                write({ 408, {}, "text/plain" });
+                auto now = BootClock::now();
+                if (now - requestStartedAt_ >= shared_.options.readTimeout)
+                    finishEarly({ 408, {}, "text/plain" });
+                else if (shared_.budget->pressed() && now - progressAt() >= shared_.budget->stallTimeout()) {
+                    shared_.budget->countShed(ShedReason::Stalled);
+                    refuse();
+                } else
+                    setReadDeadline(now);
             } else
                 close();
         }
@@ -227,6 +389,10 @@
         State state_ = State::Reading;
         bool reading_ = false;
         bool keepAlive_ = true;
+        bool dropsAhead_ = false;
+        Instant requestStartedAt_ {};
+        std::optional<HttpResponse> headResponse_; // of the current request, whose body is dropped
+        size_t acceptedBytes_ = 0; // held by the handler of the current request
         uint64_t requestNumber_ = 0; // of the current request; a response to an earlier request is dropped
         std::string pipelined_; // bytes received after the current request
         std::string output_;
@@ -236,10 +402,13 @@
 
 class HttpServer::Implementation {
 public:
-    Implementation(asio::io_context& io, DeadlineQueue& deadlines, HttpServerOptions&& options, Handler&& handler)
+    Implementation(asio::io_context& io, DeadlineQueue& deadlines, HttpServerOptions&& options, Handler&& handler,
+        HeadHandler&& headHandler)
         : acceptor_(io)
         , acceptTimer_(io)
-        , shared_ { deadlines, std::move(options), std::move(handler) }
+        , budget_(options.budget ? options.budget : std::make_shared<ConnectionBudget>())
+        , shared_ { deadlines, options, std::move(handler), std::move(headHandler), budget_,
+            { *budget_, { options.name, options.reservedBytes, options.maximumConnections } } }
     {
     }
 
@@ -274,7 +443,8 @@
     void accept()
     {
         acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
-            if (!acceptor_.is_open())
+            // After an abort the server may have been destroyed.
+            if (error == asio::error::operation_aborted || !acceptor_.is_open())
                 return;
             if (error) {
                 logger("http")->warn("cannot accept a connection: {}", error.message());
@@ -285,10 +455,11 @@
                 });
                 return;
             }
-            if (shared_.sessions.size() < shared_.options.maximumConnections) {
+            if (shared_.part.admit(BootClock::now())) {
                 socket.set_option(tcp::no_delay(true), error);
                 socket.non_blocking(true, error);
-                auto session = std::make_shared<Session>(std::move(socket), shared_);
+                auto client = socket.remote_endpoint(error).address().to_string();
+                auto session = std::make_shared<Session>(std::move(socket), client, shared_);
                 shared_.sessions.insert(session);
                 session->start();
             }
@@ -298,11 +469,14 @@
 
     tcp::acceptor acceptor_;
     asio::steady_timer acceptTimer_;
+    std::shared_ptr<ConnectionBudget> budget_;
     ServerState shared_;
 };
 
-HttpServer::HttpServer(asio::io_context& io, DeadlineQueue& deadlines, HttpServerOptions options, Handler handler)
-    : implementation_(std::make_unique<Implementation>(io, deadlines, std::move(options), std::move(handler)))
+HttpServer::HttpServer(
+    asio::io_context& io, DeadlineQueue& deadlines, HttpServerOptions options, Handler handler, HeadHandler headHandler)
+    : implementation_(
+        std::make_unique<Implementation>(io, deadlines, std::move(options), std::move(handler), std::move(headHandler)))
 {
 }
 
--- a/shallotdrift/src/Http/HttpServer.h
+++ b/shallotdrift/src/Http/HttpServer.h
@@ -2,11 +2,13 @@
 
 #include "../Base/Error.h"
 #include "../Base/Time.h"
+#include "ConnectionBudget.h"
 #include "DeadlineQueue.h"
 #include "HttpReader.h"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace shallotdrift {
@@ -14,9 +16,12 @@
 struct HttpServerOptions {
     std::string listenAddress; // IP:port
     HttpLimits limits {};
-    size_t maximumConnections = 2000; // further connections are accepted and closed at once
+    size_t maximumConnections = 2000; // for a further one, the connection without progress for longest is closed
     Milliseconds idleTimeout { 15000 }; // maximum wait for a request; also the maximum time to write a response
     Milliseconds readTimeout { 3000 }; // maximum time from the first byte of a request to its end
+    std::string name = "http"; // in logs and metrics
+    std::shared_ptr<ConnectionBudget> budget {}; // null: memory without a limit, not shared with other servers
+    size_t reservedBytes = 0; // of the budget, for this server
 };
 
 struct HttpResponse {
@@ -34,8 +39,12 @@
     using ResponseCallback = std::function<void(HttpResponse&&)>;
     // Called on the server's thread for each complete request.
     using Handler = std::function<void(HttpMessage&&, ResponseCallback)>;
+    // Called on the server's thread for each request whose head is complete, before any of its body is kept. A response
+    // is sent instead of calling the handler; the body is dropped, and unless it has arrived already, the connection is
+    // closed. May be empty. Bodies of methods other than POST and PUT are dropped in any case.
+    using HeadHandler = std::function<std::optional<HttpResponse>(const HttpMessage& head)>;
 
-    HttpServer(asio::io_context&, DeadlineQueue&, HttpServerOptions, Handler);
+    HttpServer(asio::io_context&, DeadlineQueue&, HttpServerOptions, Handler, HeadHandler = {});
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -30,8 +30,53 @@
 // Offset from the first internal port. The internal ports serve, in order: other entry instances, metrics, operators.
 static constexpr uint32_t operatorPortOffset = 2;
 
+static constexpr Milliseconds budgetInterval { 1000 };
+// Of a machine whose memory is unknown.
+static constexpr size_t assumedMemoryMegabytes = 160;
+static constexpr size_t bytesPerMegabyte = 1 << 20;
+// Descriptors that are kept for files.
+static constexpr size_t fileDescriptors = 200;
+// Descriptors that are kept for workers, the store and other entry instances, if the process has so many.
+static constexpr size_t internalDescriptors = 1800;
+// Maximum connections to the listeners for readiness checks and for metrics, each.
+static constexpr size_t probeConnections = 128;
+static constexpr size_t maximumProbeReserveBytes = 1 << 20;
+// Number of descriptors that the listeners share at least.
+static constexpr size_t leastDescriptors = 128;
+
 namespace {
 
+    // What the connections of each listener may hold.
+    struct ConnectionShare {
+        size_t memoryBytes;
+        size_t peerReserveBytes;
+        size_t probeReserveBytes;
+        size_t callers;
+        size_t peers;
+        size_t probes;
+    };
+
+    ConnectionShare shareConnections(const NodeSettings& settings)
+    {
+        auto megabytes = settings.memoryMegabytes > 0 ? settings.memoryMegabytes : assumedMemoryMegabytes;
+        ConnectionShare share {};
+        share.memoryBytes
+            = static_cast<size_t>(static_cast<double>(megabytes * bytesPerMegabyte) * settings.connectionMemoryShare);
+        share.peerReserveBytes = share.memoryBytes / 4;
+        share.probeReserveBytes = std::min(maximumProbeReserveBytes, share.memoryBytes / 16);
+        if (settings.descriptors == 0) {
+            share.callers = share.peers = settings.clientConnections;
+            share.probes = probeConnections;
+            return share;
+        }
+        auto available = std::max<size_t>(settings.descriptors, fileDescriptors + leastDescriptors) - fileDescriptors;
+        auto internal = std::min(internalDescriptors, available / 2);
+        share.callers = std::min<size_t>(settings.clientConnections, available - internal);
+        share.peers = internal / 2;
+        share.probes = std::min(probeConnections, internal / 8);
+        return share;
+    }
+
     class NodeProcess {
     public:
         explicit NodeProcess(const NodeSettings& settings)
@@ -49,22 +94,35 @@
             , configurationWatcher_(context_, [this] { onConfiguration(); })
             , requestRouter_(context_, membership_, [this](uint32_t partition) { return findOwned(partition); })
             , operatorCallRouter_(context_, membership_, [this] { return fleetManager_; })
-            , callerServer_(io_, deadlines_, { settings_.callerAddress },
+            , share_(shareConnections(settings_))
+            , budget_(std::make_shared<ConnectionBudget>(share_.memoryBytes, settings_.stallTimeout))
+            , callerServer_(
+                  io_, deadlines_, serverOptions(settings_.callerAddress, "callers", share_.callers, 0),
                   [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
                       requestRouter_.handle(std::move(request), std::move(respond));
-                  })
-            , readinessServer_(io_, deadlines_, { settings_.readyAddress },
+                  },
+                  [this](const HttpMessage& head) { return requestRouter_.checkHead(head); })
+            , readinessServer_(
+                  io_, deadlines_,
+                  serverOptions(settings_.readyAddress, "ready", share_.probes, share_.probeReserveBytes),
                   [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
                       requestRouter_.handle(std::move(request), std::move(respond));
-                  })
-            , peerServer_(io_, deadlines_, { internalAddress(0) },
+                  },
+                  [this](const HttpMessage& head) { return checkHeadAtReadyAddress(head); })
+            , peerServer_(
+                  io_, deadlines_, serverOptions(internalAddress(0), "peers", share_.peers, share_.peerReserveBytes),
                   [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
                       handlePeer(std::move(request), std::move(respond));
+                  },
+                  [this](const HttpMessage& head) { return checkPeerHead(head); })
+            , metricsServer_(
+                  io_, deadlines_,
+                  serverOptions(internalAddress(1), "metrics", share_.probes, share_.probeReserveBytes),
+                  [](HttpMessage&&, const HttpServer::ResponseCallback& respond) { respond({ 404 }); },
+                  [this](const HttpMessage&) {
+                      return HttpResponse { 200, metricsText(), "text/plain" };
                   })
-            , metricsServer_(io_, deadlines_, { internalAddress(1) },
-                  [this](HttpMessage&&, const HttpServer::ResponseCallback& respond) {
-                      respond({ 200, metricsText(), "text/plain" });
-                  })
+            , budgetTimer_(io_)
             , signals_(io_)
             , stopTimer_(io_)
         {
@@ -78,6 +136,7 @@
             BOOST_LEAF_CHECK(peerServer_.start());
             BOOST_LEAF_CHECK(metricsServer_.start());
             startOperatorServer();
+            maintainBudget();
             configurationWatcher_.start();
             membership_.start();
             for (int signal : { SIGTERM, SIGINT, SIGHUP })
@@ -108,6 +167,43 @@
                 membership_.rejoin();
         }
 
+        HttpServerOptions serverOptions(
+            const std::string& address, const char* name, size_t connections, size_t reservedBytes) const
+        {
+            HttpServerOptions options { address };
+            options.limits.maximumHeaderFields = settings_.headerFields;
+            options.maximumConnections = connections;
+            options.name = name;
+            options.budget = budget_;
+            options.reservedBytes = reservedBytes;
+            return options;
+        }
+
+        void maintainBudget()
+        {
+            budget_->maintain();
+            budgetTimer_.expires_after(budgetInterval);
+            budgetTimer_.async_wait([this](std::error_code error) {
+                if (!error)
+                    maintainBudget();
+            });
+        }
+
+        // Jobs are handed in at the callers' address only, and nothing else has a body.
+        std::optional<HttpResponse> checkHeadAtReadyAddress(const HttpMessage& head)
+        {
+            if (head.method == "POST")
+                return platform::isReadinessProbe(head) ? requestRouter_.checkHead(head) : HttpResponse { 405 };
+            return requestRouter_.checkHead(head);
+        }
+
+        std::optional<HttpResponse> checkPeerHead(const HttpMessage& head) const
+        {
+            if (head.target == fleetPath || OperatorCallRouter::isPeerCall(head.target))
+                return std::nullopt;
+            return requestRouter_.checkPeerHead(head);
+        }
+
         std::string internalAddress(uint32_t offset) const
         {
             return fmt::format("{}:{}", settings_.ip, settings_.firstInternalPort + offset);
@@ -236,8 +332,8 @@
         void onConfiguration()
         {
             const auto& limits = context_.configuration->limits;
-            callerServer_.setLimits(
-                { limits.maximumHeaderBytes, limits.maximumBodyBytes }, limits.headerTimeout, limits.idleTimeout);
+            callerServer_.setLimits({ limits.maximumHeaderBytes, limits.maximumBodyBytes, settings_.headerFields },
+                limits.headerTimeout, limits.idleTimeout);
             for (const auto& [partition, generation] : assignedGenerations_)
                 takeOver(partition);
             forEachOwned(&OwnedPartition::onConfiguration);
@@ -328,6 +424,17 @@
             add("configuration_version", context_.configuration ? context_.configuration->version : 0);
             add("partitions_owned", owned_.size());
             add("unexpected_errors_total", counters.unexpectedErrors);
+            for (const auto& use : budget_->use()) {
+                text += fmt::format("shallotdrift_connections_open{{listener=\"{}\"}} {}\n", use.name, use.connections);
+                text += fmt::format(
+                    "shallotdrift_connections_memory_bytes{{listener=\"{}\"}} {}\n", use.name, use.bytes);
+            }
+            add("connections_memory_limit_bytes", budget_->memoryBytes());
+            for (size_t i = 0; i < ConnectionBudget::shedReasons; ++i) {
+                auto reason = static_cast<ConnectionBudget::ShedReason>(i);
+                text += fmt::format("shallotdrift_connections_shed_total{{reason=\"{}\"}} {}\n",
+                    ConnectionBudget::shedReasonName(reason), budget_->shedCount(reason));
+            }
             return text;
         }
 
@@ -348,10 +455,13 @@
         RequestRouter requestRouter_;
         OperatorCallRouter operatorCallRouter_;
         std::unique_ptr<OperatorServer> operatorServer_;
+        ConnectionShare share_;
+        std::shared_ptr<ConnectionBudget> budget_;
         HttpServer callerServer_;
         HttpServer readinessServer_;
         HttpServer peerServer_;
         HttpServer metricsServer_;
+        asio::steady_timer budgetTimer_;
         asio::signal_set signals_;
         asio::steady_timer stopTimer_;
         Instant stopStartedAt_ {};
--- a/shallotdrift/src/Node/RequestRouter.cpp
+++ b/shallotdrift/src/Node/RequestRouter.cpp
@@ -67,37 +67,49 @@
     return std::nullopt;
 }
 
-void RequestRouter::handle(HttpMessage&& message, ResponseCallback respond)
+std::variant<RequestRouter::Target, HttpResponse> RequestRouter::findTarget(const HttpMessage& head) const
 {
-    if (platform::isReadinessProbe(message)) {
-        respond({ ready() ? 200U : 503U });
-        return;
-    }
-    ++context_.counters.requests;
-    if (!context_.configuration) {
-        respond(notRunResponse("not run: no configuration yet"));
-        return;
-    }
-    auto path = std::string_view(message.target).substr(0, message.target.find('?'));
-    const auto* queue = findQueue(message.uniqueHeader("Host"), path);
+    if (!context_.configuration)
+        return notRunResponse("not run: no configuration yet");
+    auto path = std::string_view(head.target).substr(0, head.target.find('?'));
+    const auto* queue = findQueue(head.uniqueHeader("Host"), path);
     if (!queue) {
         logger("router")->info(
-            "event=no_queue method={} path={} version={}", message.method, path, context_.configuration->version);
-        respond(errorResponse(404, "no such queue"));
-        return;
+            "event=no_queue method={} path={} version={}", head.method, path, context_.configuration->version);
+        return errorResponse(404, "no such queue");
     }
     auto job = path.substr(queue->pathPrefix.size());
-    auto type = parseRequestType(message.method, job);
-    if (!type) {
-        respond(errorResponse(405, "allowed are POST, GET and DELETE"));
-        return;
-    }
-    if (type != OwnerRequest::Type::Count && !platform::isValidJobId(job)) {
-        respond(errorResponse(400, "a job's id has 16 hexadecimal digits"));
+    auto type = parseRequestType(head.method, job);
+    if (!type)
+        return errorResponse(405, "allowed are POST, GET and DELETE");
+    if (type != OwnerRequest::Type::Count && !platform::isValidJobId(job))
+        return errorResponse(400, "a job's id has 16 hexadecimal digits");
+    return Target { queue, *type, job };
+}
+
+std::optional<HttpResponse> RequestRouter::checkHead(const HttpMessage& head)
+{
+    if (platform::isReadinessProbe(head))
+        return HttpResponse { ready() ? 200U : 503U };
+    ++context_.counters.requests;
+    auto target = findTarget(head);
+    if (auto* refusal = std::get_if<HttpResponse>(&target))
+        return std::move(*refusal);
+    return std::nullopt;
+}
+
+// The configuration may have changed since checkHead().
+void RequestRouter::handle(HttpMessage&& message, ResponseCallback respond)
+{
+    auto found = findTarget(message);
+    if (auto* refusal = std::get_if<HttpResponse>(&found)) {
+        respond(std::move(*refusal));
         return;
     }
-    auto timeout = platform::clientTimeout(message, queue->timeout);
-    forward(*queue, { *type, queue->name, std::string(job), std::move(message.body) }, timeout, std::move(respond));
+    const auto& target = std::get<Target>(found);
+    auto timeout = platform::clientTimeout(message, target.queue->timeout);
+    forward(*target.queue, { target.type, target.queue->name, std::string(target.job), std::move(message.body) },
+        timeout, std::move(respond));
 }
 
 void RequestRouter::forward(
@@ -251,27 +263,57 @@
     respond(std::move(response));
 }
 
-// The path is "/owner/PARTITION/QUEUE/JOB"; JOB is empty for a count.
+namespace {
+
+    struct PeerTarget {
+        uint32_t partition;
+        OwnerRequest::Type type;
+        std::string queue;
+        std::string job;
+    };
+
+    // The path is "/owner/PARTITION/QUEUE/JOB"; JOB is empty for a count.
+    std::optional<PeerTarget> parsePeerTarget(const HttpMessage& head)
+    {
+        std::array<std::string_view, 4> parts;
+        std::string_view rest = std::string_view(head.target).substr(1);
+        for (auto& part : parts) {
+            part = rest.substr(0, rest.find('/'));
+            rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+        }
+        auto partition = parseNumber(parts[1], UINT32_MAX);
+        auto type = parseRequestType(head.method, parts[3]);
+        if (parts[0] != "owner" || !partition || !type)
+            return std::nullopt;
+        return PeerTarget { static_cast<uint32_t>(*partition), *type, std::string(parts[2]), std::string(parts[3]) };
+    }
+
+} // namespace
+
+std::optional<HttpResponse> RequestRouter::checkPeerHead(const HttpMessage& head) const
+{
+    auto target = parsePeerTarget(head);
+    if (!target)
+        return HttpResponse { 404 };
+    if (!findOwned_(target->partition))
+        return HttpResponse { notOwnerStatus };
+    return std::nullopt;
+}
+
 void RequestRouter::handlePeer(HttpMessage&& message, ResponseCallback respond)
 {
-    std::array<std::string_view, 4> parts;
-    std::string_view rest = std::string_view(message.target).substr(1);
-    for (auto& part : parts) {
-        part = rest.substr(0, rest.find('/'));
-        rest.remove_prefix(std::min(rest.size(), part.size() + 1));
-    }
-    auto partition = parseNumber(parts[1], UINT32_MAX);
-    auto type = parseRequestType(message.method, parts[3]);
-    if (parts[0] != "owner" || !partition || !type) {
+    auto target = parsePeerTarget(message);
+    if (!target) {
         respond({ 404 });
         return;
     }
-    auto* owned = findOwned_(static_cast<uint32_t>(*partition));
+    auto* owned = findOwned_(target->partition);
     if (!owned) {
         respond({ notOwnerStatus });
         return;
     }
-    owned->handle({ *type, std::string(parts[2]), std::string(parts[3]), std::move(message.body) }, std::move(respond));
+    owned->handle({ target->type, std::move(target->queue), std::move(target->job), std::move(message.body) },
+        std::move(respond));
 }
 
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Node/RequestRouter.h
+++ b/shallotdrift/src/Node/RequestRouter.h
@@ -4,6 +4,9 @@
 #include "OwnedPartition.h"
 #include "OwnerContacts.h"
 
+#include <optional>
+#include <variant>
+
 namespace shallotdrift::internal {
 
 // Forwards each caller's request to the owner of its queue's service, on this or another entry instance.
@@ -14,6 +17,10 @@
 
     RequestRouter(NodeContext&, Membership&, FindOwned);
 
+    // Returns the response to a request that cannot be handled or needs no body, from its head only. Must be called
+    // before handle().
+    std::optional<HttpResponse> checkHead(const HttpMessage& head);
+    std::optional<HttpResponse> checkPeerHead(const HttpMessage& head) const;
     // Handles a caller's request or the platform's readiness check.
     void handle(HttpMessage&&, ResponseCallback);
     // Handles a request forwarded by another entry instance.
@@ -40,6 +47,13 @@
     };
     using PendingRequestPointer = std::shared_ptr<PendingRequest>;
 
+    // What a caller's request asks for.
+    struct Target {
+        const QueueConfiguration* queue;
+        OwnerRequest::Type type;
+        std::string_view job;
+    };
+    std::variant<Target, HttpResponse> findTarget(const HttpMessage& head) const;
     const QueueConfiguration* findQueue(std::string_view host, std::string_view path) const;
     void forward(const QueueConfiguration&, OwnerRequest&&, Milliseconds timeout, ResponseCallback);
     void attempt(const PendingRequestPointer&);
