Limit the connections of operators

Cause: gRPC does not limit the number of its connections, so a crowd at the operators' port takes the descriptors of the process, and some memory for each. Change: OperatorListener accepts the connections and hands them to the gRPC server. It keeps at most 32, and closes the one that has received nothing for longest for a new one. The quota of the server's memory is 16 MB instead of 64.

--- a/shallotdrift/src/Operators/OperatorServer.cpp
+++ b/shallotdrift/src/Operators/OperatorServer.cpp
@@ -2,6 +2,7 @@
 
 #include "../Base/Logging.h"
 #include "../Settings/ValueFormat.h"
+#include "OperatorListener.h"
 
 #include <fmt/format.h>
 #include <fstream>
@@ -15,7 +16,8 @@
 
 // Operators are few; these limits keep a faulty client from exhausting the memory and threads of the entry instance.
 static constexpr int maximumThreads = 12;
-static constexpr size_t maximumQuotaBytes = 64 << 20;
+static constexpr size_t maximumQuotaBytes = 16 << 20;
+static constexpr size_t maximumConnections = 32;
 static constexpr int maximumStreamsPerConnection = 16;
 static constexpr int maximumIdleMilliseconds = 60000;
 static constexpr int handshakeTimeoutMilliseconds = 5000;
@@ -131,6 +133,7 @@
     Implementation(OperatorServerOptions options, OperatorBackend& backend)
         : options_(std::move(options))
         , service_(backend, usesTls(options_))
+        , listener_(maximumConnections, [this](int descriptor) { handOver(descriptor); })
     {
     }
 
@@ -145,40 +148,52 @@
         builder.AddChannelArgument(GRPC_ARG_MAX_CONCURRENT_STREAMS, maximumStreamsPerConnection);
         builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, maximumIdleMilliseconds);
         builder.AddChannelArgument(GRPC_ARG_SERVER_HANDSHAKE_TIMEOUT_MS, handshakeTimeoutMilliseconds);
-        // With SO_REUSEPORT, two processes configured with the same port by mistake would share the connections.
-        builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-        builder.AddListeningPort(options_.listenAddress, credentials, &port_);
+        acceptor_ = builder.experimental().AddExternalConnectionAcceptor(
+            grpc::ServerBuilder::experimental_type::ExternalConnectionType::FROM_FD, credentials);
         builder.RegisterService(&service_);
         server_ = builder.BuildAndStart();
-        if (!server_ || port_ <= 0)
+        if (!server_)
             return fail(ResultCode::InvalidSettings,
-                fmt::format("operator listener {}: cannot listen on this address", options_.listenAddress));
+                fmt::format("operator listener {}: cannot start the server", options_.listenAddress));
+        return listener_.start(options_.listenAddress);
+    }
+
+    void logListening() const
+    {
         if (usesTls(options_))
             logger("operators")
                 ->info("listening on {} (port {}) with TLS; client certificates are required", options_.listenAddress,
-                    port_);
+                    port());
         else
             logger("operators")
                 ->warn("listening on {} without TLS: only local processes can connect, and operator names are "
                        "not authenticated",
                     options_.listenAddress);
-        return {};
     }
 
     void stop()
     {
+        listener_.stop();
         if (server_)
             server_->Shutdown(std::chrono::system_clock::now() + shutdownTimeout);
         server_.reset();
     }
 
-    uint16_t port() const { return static_cast<uint16_t>(port_); }
+    uint16_t port() const { return listener_.port(); }
 
 private:
+    void handOver(int descriptor)
+    {
+        grpc::experimental::ExternalConnectionAcceptor::NewConnectionParameters parameters;
+        parameters.fd = descriptor;
+        acceptor_->HandleNewConnection(&parameters);
+    }
+
     OperatorServerOptions options_;
     OperatorService service_;
     std::unique_ptr<grpc::Server> server_;
-    int port_ = 0;
+    std::unique_ptr<grpc::experimental::ExternalConnectionAcceptor> acceptor_;
+    OperatorListener listener_;
 };
 
 OperatorServer::OperatorServer(OperatorServerOptions options, OperatorBackend& backend)
@@ -188,7 +203,12 @@
 
 OperatorServer::~OperatorServer() { stop(); }
 
-Result<void> OperatorServer::start() { return implementation_->start(); }
+Result<void> OperatorServer::start()
+{
+    BOOST_LEAF_CHECK(implementation_->start());
+    implementation_->logListening();
+    return {};
+}
 
 void OperatorServer::stop() { implementation_->stop(); }
 
