Limit the open calls of an operators' connection

Cause: this gRPC limits the streams of a connection only once the client has acknowledged the limit, so one that does not can open any number of calls; each takes memory until it is answered. Change: OperatorListener relays the connections to the gRPC server through socket pairs instead of handing them over. Without TLS it counts the open streams (StreamCounter) and closes a connection with more than 16.

--- a/shallotdrift/src/Operators/OperatorListener.h
+++ b/shallotdrift/src/Operators/OperatorListener.h
@@ -15,37 +15,44 @@
 
 namespace shallotdrift {
 
-// Accepts the connections for a server that cannot limit their number itself, and passes them on. When there are too
-// many, the one that has received nothing for longest is closed. Runs a thread of its own.
+struct OperatorListenerOptions {
+    size_t maximumConnections = 32;
+    size_t maximumStreams = 16; // open streams of a connection; it is closed for more
+    bool encrypted = false; // streams of encrypted connections are not counted
+};
+
+// Accepts the connections for a gRPC server, which cannot limit their number, and relays them to it. When there are too
+// many, the one that has sent nothing for longest is closed. Runs a thread of its own.
 class OperatorListener {
 public:
     // Takes ownership of the descriptor of a connected, non-blocking socket.
     using ConnectionHandler = std::function<void(int descriptor)>;
 
-    OperatorListener(size_t maximumConnections, ConnectionHandler);
+    OperatorListener(OperatorListenerOptions, ConnectionHandler);
     ~OperatorListener();
     OperatorListener(const OperatorListener&) = delete;
     OperatorListener& operator=(const OperatorListener&) = delete;
 
     // Starts to accept connections. Fails with InvalidSettings when the address cannot be used.
     Result<void> start(const std::string& address);
-    // Stops accepting connections; those that have been passed on stay open.
+    // Stops accepting connections and closes the open ones.
     void stop();
     // The port that the listener is bound to.
     uint16_t port() const { return port_; }
 
 private:
+    class Connection;
+
     void accept();
-    void pass(asio::ip::tcp::socket);
+    void relay(asio::ip::tcp::socket);
     bool closeQuietest();
 
-    size_t maximumConnections_;
+    OperatorListenerOptions options_;
     ConnectionHandler handler_;
     asio::io_context io_ { 1 };
     asio::ip::tcp::acceptor acceptor_ { io_ };
     asio::steady_timer retryTimer_ { io_ };
-    std::unordered_set<std::shared_ptr<asio::ip::tcp::socket>>
-        connections_; // second descriptors of the sockets that have been passed on
+    std::unordered_set<std::shared_ptr<Connection>> connections_;
     std::thread thread_;
     uint16_t port_ = 0;
 };
--- a/shallotdrift/src/Operators/OperatorServer.cpp
+++ b/shallotdrift/src/Operators/OperatorServer.cpp
@@ -133,7 +133,8 @@
     Implementation(OperatorServerOptions options, OperatorBackend& backend)
         : options_(std::move(options))
         , service_(backend, usesTls(options_))
-        , listener_(maximumConnections, [this](int descriptor) { handOver(descriptor); })
+        , listener_({ maximumConnections, maximumStreamsPerConnection, usesTls(options_) },
+              [this](int descriptor) { handOver(descriptor); })
     {
     }
 
@@ -173,9 +174,9 @@
 
     void stop()
     {
-        listener_.stop();
         if (server_)
             server_->Shutdown(std::chrono::system_clock::now() + shutdownTimeout);
+        listener_.stop();
         server_.reset();
     }
 
