--- a/shallotdrift/src/Accounts/QuotaAllocator.cpp
+++ b/shallotdrift/src/Accounts/QuotaAllocator.cpp
@@ -23,7 +23,7 @@
             quotas_[name] = account.quota;
 }
 
-void QuotaAllocator::setServices(std::set<std::string> services)
+void QuotaAllocator::setServices(const std::set<std::string>& services)
 {
     for (const auto& name : services)
         services_.try_emplace(name);
--- a/shallotdrift/src/Accounts/QuotaAllocator.h
+++ b/shallotdrift/src/Accounts/QuotaAllocator.h
@@ -29,7 +29,7 @@
     };
 
     void setAccounts(const ClientAccounts&);
-    void setServices(std::set<std::string>);
+    void setServices(const std::set<std::string>&);
     // Services that are no longer in the list but may still hold parts. Their owners are to be asked for reports, too.
     std::set<std::string> retiredServices() const;
     // Ignores reports of an owner that has been replaced, and those on earlier messages than the last one reported on.
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -179,7 +179,7 @@
         if (!service.standby)
             services.insert(name);
     quotaAllocator_.setAccounts(accounts);
-    quotaAllocator_.setServices(std::move(services));
+    quotaAllocator_.setServices(services);
     QuotaMessage message;
     message.offers = quotaAllocator_.makeOffers();
     message.round = quotaAllocator_.round();
--- a/shallotdrift/src/Node/RequestRouter.cpp
+++ b/shallotdrift/src/Node/RequestRouter.cpp
@@ -58,31 +58,22 @@
         context_.configurationConfirmedAt, BootClock::now());
 }
 
-HttpResponse RequestRouter::unauthorizedResponse(const char* reason) const
-{
-    ++context_.counters.keysRefused;
-    auto response = errorResponse(401, reason);
-    response.headers.push_back({ "WWW-Authenticate", "Bearer" });
-    return response;
-}
-
-RequestRouter::Authorization RequestRouter::authorize(const HttpMessage& message, const QueueConfiguration& queue) const
+RequestRouter::Admission RequestRouter::authorize(const HttpMessage& head, const QueueConfiguration& queue) const
 {
     if (!context_.configuration->hasAccounts || queue.isPublic)
         return {};
-    auto key = platform::callerKey(message);
-    if (key.state == platform::CallerKey::State::Absent)
-        return { {}, unauthorizedResponse("the request has no key: Authorization: Bearer KEY") };
-    if (key.state == platform::CallerKey::State::Malformed)
-        return { {}, unauthorizedResponse("the header Authorization is not one of the form Bearer KEY") };
-    if (!keysConfirmed()) { // the key may have been withdrawn or, if it is unknown, added
+    auto key = platform::callerKey(head);
+    bool present = key.state == platform::CallerKey::State::Present;
+    if (present && !keysConfirmed()) { // the key may have been withdrawn or, if it is unknown, added
         ++context_.counters.requestsUnconfirmed;
         return { {}, notRunResponse("not run: the keys in force cannot be confirmed") };
     }
-    const auto* account = context_.configuration->keys.findAccount(key.key);
-    if (!account)
-        return { {}, unauthorizedResponse("unknown key") };
-    return { *account, {} };
+    if (const auto* account = present ? context_.configuration->keys.findAccount(key.key) : nullptr)
+        return { *account, {} };
+    ++context_.counters.keysRefused;
+    auto response = errorResponse(401, platform::describeKeyRefusal(key.state));
+    response.headers.push_back(platform::keyRequestHeader());
+    return { {}, std::move(response) };
 }
 
 // Returns the queue of the host with the longest prefix that matches the path, or null if no queue matches.
@@ -118,12 +109,12 @@
             "event=no_queue method={} path={} version={}", head.method, path, context_.configuration->version);
         return errorResponse(404, "no such queue");
     }
-    auto authorization = authorize(head, *queue);
-    if (authorization.refusal) {
+    auto admission = authorize(head, *queue);
+    if (admission.refusal) {
         logger("router")->info("event=unauthorized queue={} status={} version={} confirmed_ms={}", queue->name,
-            authorization.refusal->status, context_.configuration->version,
+            admission.refusal->status, context_.configuration->version,
             std::chrono::duration_cast<Milliseconds>(BootClock::now() - context_.configurationConfirmedAt).count());
-        return std::move(*authorization.refusal);
+        return std::move(*admission.refusal);
     }
     auto job = path.substr(queue->pathPrefix.size());
     auto type = parseRequestType(head.method, job);
@@ -131,7 +122,7 @@
         return errorResponse(405, "allowed are POST, GET and DELETE");
     if (type != OwnerRequest::Type::Count && !platform::isValidJobId(job))
         return errorResponse(400, "a job's id has 16 hexadecimal digits");
-    return Target { queue, *type, job, std::move(authorization.account) };
+    return Target { queue, *type, job, std::move(admission.account) };
 }
 
 std::optional<HttpResponse> RequestRouter::checkHead(const HttpMessage& head)
--- a/shallotdrift/src/Node/RequestRouter.h
+++ b/shallotdrift/src/Node/RequestRouter.h
@@ -49,12 +49,11 @@
 
     bool keysConfirmed() const;
     // The account that the caller's key belongs to, nullopt if the queue is open to everyone, or the refusal.
-    struct Authorization {
+    struct Admission {
         std::optional<std::string> account {};
         std::optional<HttpResponse> refusal {};
     };
-    Authorization authorize(const HttpMessage&, const QueueConfiguration&) const;
-    HttpResponse unauthorizedResponse(const char* reason) const;
+    Admission authorize(const HttpMessage&, const QueueConfiguration&) const;
     // What a caller's request asks for.
     struct Target {
         const QueueConfiguration* queue;
--- a/test/AccountsTest.cpp
+++ b/test/AccountsTest.cpp
@@ -27,7 +27,7 @@
             : random_(seed)
         {
             for (int i = 0; i < 3; ++i)
-                services_[fmt::format("s{}", i)].unit = 1000 * (i + 1);
+                services_[fmt::format("s{}", i)].unit = int64_t { 1000 } * (i + 1);
             for (auto& [name, service] : services_)
                 service.ledger->setAccounts(accountsWithQuota(quota()));
             replaceAllocator();
@@ -280,11 +280,11 @@
             { { "team", { lent, 0, 0 }, { used, 0, 0 }, { wanted, 0, 0 }, { unit, 0, 0 } } } };
     }
 
-    static QuotaAllocator allocatorOf(std::set<std::string> services)
+    static QuotaAllocator allocatorOf(const std::set<std::string>& services)
     {
         QuotaAllocator allocator;
         allocator.setAccounts(accountsWithQuota(quotaCores));
-        allocator.setServices(std::move(services));
+        allocator.setServices(services);
         return allocator;
     }
 
@@ -327,7 +327,8 @@
             CPPUNIT_ASSERT(simulation.used() >= simulation.quota() - 2 * QuotaSimulation::largestUnit);
             CPPUNIT_ASSERT(simulation.eachServiceRuns());
         }
-        CPPUNIT_ASSERT(starts > 2000 * 10); // before the settlement, so parts were lent amid the disturbances
+        CPPUNIT_ASSERT(
+            starts > size_t { 2000 } * 10); // before the settlement, so parts were lent amid the disturbances
     }
 
     // Guards against a part that lies idle at one owner while tasks wait at another.
