Tell apart why an answer follows an older configuration

Callers were answered as of an older configuration, and the logs could not tell the hypotheses of the incident apart: only the first lost response of any kind of request to the store was logged, and nothing of the version by which an owner answers.

Now the reads of the configuration log the first failure of a series with its status, and its end; an applied configuration its size and the time since the one before was confirmed; the pages of a partition the same. Requests to the store are counted by path: sent, refused, unanswered. The version by which a queue was found travels to the owner, which logs it beside its own when it answers 404, and stands in the router's line of each failed response. A late event loop is logged.

--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -32,6 +32,8 @@
 static constexpr uint32_t operatorPortOffset = 2;
 
 static constexpr Milliseconds budgetInterval { 1000 };
+// Beyond it, delays of the event loop are logged.
+static constexpr Milliseconds loggedLoopDelay { 250 };
 // Of a machine whose memory is unknown.
 static constexpr size_t assumedMemoryMegabytes = 160;
 static constexpr size_t bytesPerMegabyte = 1 << 20;
@@ -183,13 +185,24 @@
         void maintainBudget()
         {
             budget_->maintain();
+            auto dueAt = BootClock::now() + budgetInterval;
             budgetTimer_.expires_after(budgetInterval);
-            budgetTimer_.async_wait([this](std::error_code error) {
-                if (!error)
-                    maintainBudget();
+            budgetTimer_.async_wait([this, dueAt](std::error_code error) {
+                if (error)
+                    return;
+                observeLoopDelay(std::chrono::duration_cast<Milliseconds>(BootClock::now() - dueAt));
+                maintainBudget();
             });
         }
 
+        // A late timer shows that the process was paused, or had too little processor time for its events.
+        void observeLoopDelay(Milliseconds delay)
+        {
+            loopDelay_ = delay;
+            if (delay >= loggedLoopDelay)
+                logger("node")->warn("event=loop_delayed delay_ms={}", delay.count());
+        }
+
         // Jobs are handed in at the callers' address only, and nothing else has a body.
         std::optional<HttpResponse> checkHeadAtReadyAddress(const HttpMessage& head)
         {
@@ -447,13 +460,19 @@
             add("instances_moved_total", counters.instancesMoved);
             add("instances_maintained_total", counters.instancesMaintained);
             add("worker_connections_total", workerClient_.connectionsOpened());
+            add("loop_delay_ms", static_cast<uint64_t>(std::max<int64_t>(loopDelay_.count(), 0)));
             add("store_calls_total", storeClient_.requestsSent());
+            for (const auto& [path, counts] : storeClient_.requestCounts())
+                for (const auto& [name, count] : { std::make_pair("sent", counts.sent),
+                         std::make_pair("refused", counts.refused), std::make_pair("unanswered", counts.unanswered) })
+                    text += fmt::format("shallotdrift_store_requests_{}_total{{path=\"{}\"}} {}\n", name, path, count);
             add("store_reachable", storeClient_.reachable() ? 1 : 0);
             add("configuration_version", context_.configuration ? context_.configuration->version : 0);
             add("partitions_owned", owned_.size());
             add("keys_refused_total", counters.keysRefused);
             add("requests_unconfirmed_total", counters.requestsUnconfirmed);
             add("configuration_age_ms", configurationAge().count());
+            add("configuration_reads_failed_total", counters.configurationReadsFailed);
             addQuotaMetrics(text);
             add("unexpected_errors_total", counters.unexpectedErrors);
             for (const auto& use : budget_->use()) {
@@ -494,6 +513,7 @@
         HttpServer peerServer_;
         HttpServer metricsServer_;
         asio::steady_timer budgetTimer_;
+        Milliseconds loopDelay_ { 0 }; // of the last second
         asio::signal_set signals_;
         asio::steady_timer stopTimer_;
         Instant stopStartedAt_ {};
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -310,7 +310,7 @@
     if (refuseBeyondShare(request, beyondShare, respond))
         return;
     submissions_.push_back({ std::move(request.queue), std::move(request.job), std::move(account), beyondShare,
-        std::move(*spec), std::move(respond) });
+        std::move(*spec), request.configurationVersion, std::move(respond) });
     runSchedulingCycle();
 }
 
@@ -356,6 +356,8 @@
         if (!hasJob(submission.job)) {
             auto queue = context_.configuration->queues.find(submission.queue);
             if (queue == context_.configuration->queues.end()) {
+                logger("owner")->info("request={} event=refused queue={} reason=no_queue version={} router_version={}",
+                    submission.job, submission.queue, context_.configuration->version, submission.configurationVersion);
                 submission.respond(errorResponse(404, "no such queue"));
                 continue;
             }
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -18,6 +18,7 @@
     std::string body;
     // Of the caller; nullopt: the queue's jobs are open to everyone.
     std::optional<std::string> account {};
+    uint64_t configurationVersion = 0; // by which the router found the queue; 0: unknown
 };
 
 // Owns the services whose state is stored in one partition: keeps the state, makes the scheduling decisions and gives
@@ -62,6 +63,7 @@
         std::string account; // empty: none
         bool beyondShare; // of the account
         JobSpec spec;
+        uint64_t configurationVersion; // see OwnerRequest
         ResponseCallback respond;
     };
 
--- a/shallotdrift/src/Node/RecordReader.cpp
+++ b/shallotdrift/src/Node/RecordReader.cpp
@@ -31,9 +31,13 @@
                 if (message && message->status == 200)
                     logger("store")->error(
                         "event=unreadable_page topic={} partition={}", partition_.topic, partition_.number);
-                retry(after);
+                retry(after, message ? message->status : 0);
                 return;
             }
+            if (failures_ > 0)
+                logger("store")->info("event=page_read topic={} partition={} after={} failures={}", partition_.topic,
+                    partition_.number, after, failures_);
+            failures_ = 0;
             if (after.empty())
                 endOffset_ = response.endOffset;
             for (auto& record : response.records)
@@ -47,8 +51,11 @@
         });
 }
 
-void RecordReader::retry(const std::string& after)
+void RecordReader::retry(const std::string& after, unsigned status)
 {
+    if (++failures_ == 1)
+        logger("store")->warn("event=page_read_failed topic={} partition={} after={} status={}", partition_.topic,
+            partition_.number, after, status);
     timer_.expires_after(retryDelay);
     timer_.async_wait([this, alive = alive_, after](std::error_code error) {
         if (*alive && !error)
--- a/shallotdrift/src/Node/RecordReader.h
+++ b/shallotdrift/src/Node/RecordReader.h
@@ -26,13 +26,14 @@
 
 private:
     void readPage(const std::string& after);
-    void retry(const std::string& after);
+    void retry(const std::string& after, unsigned status);
 
     NodeContext& context_;
     platform::Partition partition_;
     RecordHandler onRecord_;
     DoneHandler onDone_;
     uint64_t endOffset_ = 0;
+    uint64_t failures_ = 0; // of the page that is requested, so far
     asio::steady_timer timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/shallotdrift/src/Node/RequestRouter.cpp
+++ b/shallotdrift/src/Node/RequestRouter.cpp
@@ -23,6 +23,8 @@
 
 // Between entry instances: the account whose key the caller's request carries.
 static constexpr char accountHeader[] = "Client-Account";
+// Between entry instances: the version of the configuration by which the router found the queue.
+static constexpr char versionHeader[] = "Configuration-Version";
 
 struct RequestTypeInfo {
     OwnerRequest::Type type;
@@ -147,8 +149,8 @@
     auto& target = std::get<Target>(found);
     auto timeout = platform::clientTimeout(message, target.queue->timeout);
     forward(*target.queue,
-        { target.type, target.queue->name, std::string(target.job), std::move(message.body),
-            std::move(target.account) },
+        { target.type, target.queue->name, std::string(target.job), std::move(message.body), std::move(target.account),
+            context_.configuration->version },
         timeout, std::move(respond));
 }
 
@@ -203,6 +205,7 @@
         request.body.empty() ? "" : "application/json" };
     if (request.account)
         httpRequest.headers.push_back({ accountHeader, *request.account });
+    httpRequest.headers.push_back({ versionHeader, std::to_string(request.configurationVersion) });
     sendToOwner(address, std::move(httpRequest), time, [this, pending, attemptNumber](HttpOutcome&& outcome) {
         if (!outcome.hasResponse) {
             onNoResponse(pending, attemptNumber, outcome.sent);
@@ -298,10 +301,12 @@
     pending->respond = nullptr;
     if (response.status >= 400 && response.status != 410)
         logger("router")->info(
-            "request={} event=responded type={} queue={} status={} attempts={} maybe_executed={} took_ms={}",
+            "request={} event=responded type={} queue={} status={} attempts={} maybe_executed={} took_ms={} "
+            "version={}",
             pending->request.job, requestTypeInfo(pending->request.type).name, pending->request.queue, response.status,
             pending->attempts, pending->maybeExecuted,
-            std::chrono::duration_cast<Milliseconds>(BootClock::now() - pending->arrivedAt).count());
+            std::chrono::duration_cast<Milliseconds>(BootClock::now() - pending->arrivedAt).count(),
+            pending->request.configurationVersion);
     respond(std::move(response));
 }
 
@@ -357,6 +362,8 @@
     OwnerRequest request { target->type, std::move(target->queue), std::move(target->job), std::move(message.body) };
     if (const auto* account = message.findHeader(accountHeader))
         request.account = *account;
+    if (const auto* version = message.findHeader(versionHeader))
+        request.configurationVersion = parseNumber(*version, UINT64_MAX).value_or(0);
     owned->handle(std::move(request), std::move(respond));
 }
 
--- a/shallotdrift/src/Node/StoreClient.cpp
+++ b/shallotdrift/src/Node/StoreClient.cpp
@@ -8,10 +8,15 @@
 {
     ++requestsSent_;
     auto path = request.target.substr(0, request.target.find('?'));
+    ++requestCounts_[path].sent;
     client_.send(address_, std::move(request), timeout,
         [this, path = std::move(path), handler = std::move(handler)](HttpOutcome&& outcome) {
             auto now = BootClock::now();
             bool served = outcome.hasResponse && outcome.response.status != 503 && outcome.response.status != 429;
+            if (!outcome.hasResponse)
+                ++requestCounts_[path].unanswered;
+            else if (!served)
+                ++requestCounts_[path].refused;
             if (served) {
                 if (!reachable_)
                     logger("store")->info("dependency=store event=regained outage_ms={}",
--- a/shallotdrift/src/Node/StoreClient.h
+++ b/shallotdrift/src/Node/StoreClient.h
@@ -5,6 +5,7 @@
 #include "platform/Platform.h"
 
 #include <functional>
+#include <map>
 #include <optional>
 
 namespace shallotdrift::internal {
@@ -26,12 +27,20 @@
     bool reachable() const { return reachable_; }
     uint64_t requestsSent() const { return requestsSent_; }
 
+    struct RequestCounts {
+        uint64_t sent = 0;
+        uint64_t refused = 0; // 429 or 503
+        uint64_t unanswered = 0; // no complete response in time
+    };
+    const std::map<std::string, RequestCounts>& requestCounts() const { return requestCounts_; } // by path
+
 private:
     HttpClient& client_;
     std::string address_;
     Instant lastResponseAt_ = BootClock::now();
     bool reachable_ = true;
     uint64_t requestsSent_ = 0;
+    std::map<std::string, RequestCounts> requestCounts_;
 };
 
 } // namespace shallotdrift::internal
--- a/shallotdrift/src/Node/Watchers.cpp
+++ b/shallotdrift/src/Node/Watchers.cpp
@@ -87,9 +87,11 @@
             auto response = message ? platform::parseReadRecordsResponse(*message, nextOffset_)
                                     : platform::ReadRecordsResponse {};
             if (response.status != platform::StoreStatus::Ok) {
+                onReadFailed(message ? message->status : 0);
                 retry(response.status == platform::StoreStatus::OffsetOutOfRange);
                 return;
             }
+            onRead();
             for (const auto& record : response.records)
                 apply(record);
             nextOffset_ = response.nextOffset;
@@ -99,6 +101,28 @@
         });
 }
 
+Milliseconds ConfigurationWatcher::unconfirmedTime() const
+{
+    return std::chrono::duration_cast<Milliseconds>(BootClock::now() - context_.configurationConfirmedAt);
+}
+
+// Logs the first failure of a series.
+void ConfigurationWatcher::onReadFailed(unsigned status)
+{
+    ++context_.counters.configurationReadsFailed;
+    if (++failedReads_ == 1)
+        logger("config")->warn("event=read_failed status={} offset={} version={} unconfirmed_ms={}", status,
+            nextOffset_, context_.configuration->version, unconfirmedTime().count());
+}
+
+void ConfigurationWatcher::onRead()
+{
+    if (failedReads_ > 0)
+        logger("config")->info("event=read_resumed failures={} offset={} version={} unconfirmed_ms={}", failedReads_,
+            nextOffset_, context_.configuration->version, unconfirmedTime().count());
+    failedReads_ = 0;
+}
+
 void ConfigurationWatcher::apply(const platform::KeyedRecord& record)
 {
     if (platform::isWaveKey(record.key)) {
@@ -115,9 +139,11 @@
     if (!configuration || (context_.configuration && configuration->version <= context_.configuration->version))
         return;
     logger("config")->info(
-        "event=configuration_applied version={} queues={} services={} accounts={} keys={} rejected={}",
+        "event=configuration_applied version={} queues={} services={} accounts={} keys={} rejected={} bytes={} "
+        "unconfirmed_ms={}",
         configuration->version, configuration->queues.size(), configuration->services.size(),
-        configuration->accounts.size(), configuration->keys.size(), configuration->rejectedEntries);
+        configuration->accounts.size(), configuration->keys.size(), configuration->rejectedEntries, record.value.size(),
+        context_.configuration ? unconfirmedTime().count() : 0);
     context_.configuration = std::make_shared<const platform::Configuration>(std::move(*configuration));
     asio::post(context_.io, [this] { onConfiguration_(); }); // an exception there must not end this watcher
 }
--- a/shallotdrift/src/Node/Watchers.h
+++ b/shallotdrift/src/Node/Watchers.h
@@ -24,6 +24,9 @@
     Milliseconds readWait() const;
     void confirm(Instant readAt);
     void apply(const platform::KeyedRecord&);
+    void onReadFailed(unsigned status);
+    void onRead();
+    Milliseconds unconfirmedTime() const;
 
     NodeContext& context_;
     std::function<void()> onConfiguration_;
@@ -31,6 +34,7 @@
     asio::steady_timer timer_;
     uint64_t nextOffset_ = 0;
     Instant snapshotBegunAt_ {};
+    uint64_t failedReads_ = 0; // since the last successful one
     std::map<uint64_t, platform::WaveRequest> waves_;
 };
 
