Reproduce late configurations: readers that share the store's bandwidth

Callers of a thousand entry instances are answered as of an older configuration, seconds after a newer one was acknowledged. The new logs show reads of the configuration without a complete response in time, and none refused.

--- a/standin/StoreStandIn.cpp
+++ b/standin/StoreStandIn.cpp
@@ -197,10 +197,39 @@
         "application/octet-stream" };
     for (auto offset = pending.from; offset < partition.endOffset(); ++offset)
         response.body += partition.records[offset - partition.firstOffset];
-    pending.respond(std::move(response));
+    sendRead(std::move(response), pending.respond);
     return true;
 }
 
+void StoreStandIn::sendRead(HttpResponse&& response, const HttpServer::ResponseCallback& respond)
+{
+    if (limits_.readBytesPerSecond == 0) {
+        respond(std::move(response));
+        return;
+    }
+    advanceTransfers(BootClock::now());
+    auto bytes = static_cast<double>(response.body.size());
+    transfers_.push_back({ bytes, std::move(response), respond });
+}
+
+void StoreStandIn::advanceTransfers(Instant now)
+{
+    auto seconds = std::chrono::duration<double>(now - transfersAdvancedAt_).count();
+    transfersAdvancedAt_ = now;
+    if (transfers_.empty())
+        return;
+    auto share = seconds * static_cast<double>(limits_.readBytesPerSecond) / static_cast<double>(transfers_.size());
+    auto transfers = std::move(transfers_);
+    transfers_.clear();
+    for (auto& transfer : transfers) {
+        transfer.remainingBytes -= share;
+        if (transfer.remainingBytes > 0)
+            transfers_.push_back(std::move(transfer));
+        else
+            transfer.respond(std::move(transfer.response));
+    }
+}
+
 HttpResponse StoreStandIn::latestRecords(const Query& query)
 {
     auto& partition = partitionLog(query);
@@ -287,6 +316,7 @@
         if (group.members.size() != before)
             rebalance(group);
     }
+    advanceTransfers(now);
     auto pending = std::move(pendingReads_);
     pendingReads_.clear();
     for (auto& entry : pending)
@@ -314,7 +344,7 @@
         if (!tryRead(pending, pending.deadline <= BootClock::now()))
             pendingReads_.push_back(std::move(pending));
     } else if (path == names::logNewestPath)
-        respond(latestRecords(query));
+        sendRead(latestRecords(query), respond);
     else if (path == names::logJoinPath)
         respond(join(request.body));
     else if (path == names::logLeavePath)
--- a/standin/StoreStandIn.h
+++ b/standin/StoreStandIn.h
@@ -21,6 +21,7 @@
 struct StoreLimits {
     size_t recordBytes = 262144; // content of a record, without its length
     size_t requestBytes = 2097152;
+    size_t readBytesPerSecond = 0; // of all reads together, which share it evenly; 0: no limit
 };
 
 // In-memory stand-in for the platform's store: partitioned topics, keyed topics, producers and consumer groups.
@@ -73,6 +74,16 @@
         HttpServer::ResponseCallback respond;
     };
 
+    // A response to a read that has not been transferred in full. It takes its share of the bandwidth even if the
+    // reader has closed the connection.
+    struct Transfer {
+        double remainingBytes;
+        HttpResponse response;
+        HttpServer::ResponseCallback respond;
+    };
+
+    void sendRead(HttpResponse&&, const HttpServer::ResponseCallback&);
+    void advanceTransfers(Instant now);
     PartitionLog& partitionLog(const Query&);
     std::string append(PartitionLog&, const std::string& topic, const std::string& body);
     bool withinLimits(std::string_view body) const;
@@ -89,6 +100,8 @@
     std::map<std::string, std::vector<PartitionLog>> topics_;
     std::map<std::string, Group> groups_;
     std::vector<PendingRead> pendingReads_;
+    std::vector<Transfer> transfers_;
+    Instant transfersAdvancedAt_ {};
     StoreFaults faults_;
     StoreLimits limits_;
     uint64_t appends_ = 0;
