Read the configuration from owners, not all of it from the store

Callers of a thousand entry instances were answered as of an older configuration for 10 s and more: 404 for a route that had been added, 200 for one that had been removed.

Cause: every entry instance read the whole configuration from the store at the moment of each change. All copies together (1,000 of 80 KB or more, at the store's 80 MB/s for all readers) take longer than a read's timeout. A read that timed out was sent again, its response began anew, and the first one had used up bandwidth for nothing: with more readers or a larger configuration, the change never arrived. The class: a cost that is the product of instances and size, on a shared limit, with a retry that adds to it.

Now the owners of partitions, as many as the store's topic has at most, read the store, and all others read from an owner (ConfigurationRelay): one request that waits for a change and carries what follows an offset, so it serves the first read, changes and a compacted history alike. A relay tells how long ago the store confirmed its records and how long it held the request, so the reader's own confirmation, which bounds the use of withdrawn keys, stays true. A relay that answers nothing, cannot confirm, or is late is left for another one or for the store.

--- a/shallotdrift/src/Node/ForwardDeclarations.h
+++ b/shallotdrift/src/Node/ForwardDeclarations.h
@@ -2,6 +2,7 @@
 
 namespace shallotdrift::internal {
 
+class ConfigurationRelay;
 class ConfigurationWatcher;
 class FleetManager;
 class RequestRouter;
--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -3,6 +3,7 @@
 #include "../Base/Hash.h"
 #include "../Base/Logging.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <set>
 
@@ -215,6 +216,24 @@
     return found == owners_.end() ? std::string() : addressOf(found->second);
 }
 
+std::vector<std::string> Membership::otherOwners() const
+{
+    auto own = addressOf(groupMember_.member);
+    std::set<std::string> addresses;
+    for (const auto& [partition, member] : owners_)
+        if (auto address = addressOf(member); address != own)
+            addresses.insert(std::move(address));
+    return { addresses.begin(), addresses.end() };
+}
+
+bool Membership::isOwner() const
+{
+    auto own = addressOf(groupMember_.member);
+    return !owned_.empty() || std::any_of(owners_.begin(), owners_.end(), [&](const auto& entry) {
+        return addressOf(entry.second) == own;
+    });
+}
+
 void Membership::pollOwners()
 {
     refreshOwners();
--- a/shallotdrift/src/Node/Membership.h
+++ b/shallotdrift/src/Node/Membership.h
@@ -39,6 +39,10 @@
     const std::string& memberId() const { return groupMember_.member; }
     // Address (IP:port) of the entry instance that owns the partition; empty while it is unknown.
     std::string ownerAddress(uint32_t partition) const;
+    // Addresses of the entry instances that own partitions as last read, without this one.
+    std::vector<std::string> otherOwners() const;
+    // Whether this entry instance owns a partition, or is listed as an owner at its address.
+    bool isOwner() const;
     // Whether the owners have been read since the start.
     bool ownersKnown() const { return ownersKnown_; }
     // Reads the owners, unless a read is in flight or was begun just before.
--- a/shallotdrift/src/Node/NodeContext.h
+++ b/shallotdrift/src/Node/NodeContext.h
@@ -32,7 +32,9 @@
     uint64_t instancesMaintained = 0;
     uint64_t keysRefused = 0; // requests without a known key
     uint64_t requestsUnconfirmed = 0; // refused because the configuration could not be confirmed in time
-    uint64_t configurationReadsFailed = 0;
+    uint64_t configurationReadsFailed = 0; // of the store
+    uint64_t relayedReads = 0; // of the configuration, answered by a relay
+    uint64_t relayedReadsFailed = 0;
     uint64_t unexpectedErrors = 0; // exceptions that escaped from a handler of the event loop
 };
 
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -94,7 +94,7 @@
                   { [this](uint32_t partition, uint64_t generation) { onPartitionAssigned(partition, generation); },
                       [this](uint32_t partition) { release(partition); } })
             , registryWatcher_(context_, [this] { forEachOwned(&OwnedPartition::onRegistry); })
-            , configurationWatcher_(context_, [this] { onConfiguration(); })
+            , configurationWatcher_(context_, membership_, [this] { onConfiguration(); })
             , requestRouter_(context_, membership_, [this](uint32_t partition) { return findOwned(partition); })
             , operatorCallRouter_(context_, membership_, [this] { return fleetManager_; })
             , share_(shareConnections(settings_))
@@ -213,7 +213,8 @@
 
         std::optional<HttpResponse> checkPeerHead(const HttpMessage& head) const
         {
-            if (head.target == fleetPath || OperatorCallRouter::isPeerCall(head.target))
+            if (head.target == fleetPath || OperatorCallRouter::isPeerCall(head.target)
+                || ConfigurationRelay::isRelayRequest(head))
                 return std::nullopt;
             return requestRouter_.checkPeerHead(head);
         }
@@ -297,6 +298,8 @@
         {
             if (request.target == fleetPath)
                 respond({ 200, applyCordonsLocally(request.body) });
+            else if (ConfigurationRelay::isRelayRequest(request))
+                configurationWatcher_.relay().handle(request, std::move(respond));
             else if (OperatorCallRouter::isPeerCall(request.target))
                 operatorCallRouter_.handlePeer(std::move(request), std::move(respond));
             else
@@ -473,6 +476,8 @@
             add("requests_unconfirmed_total", counters.requestsUnconfirmed);
             add("configuration_age_ms", configurationAge().count());
             add("configuration_reads_failed_total", counters.configurationReadsFailed);
+            add("configuration_relayed_reads_total", counters.relayedReads);
+            add("configuration_relayed_reads_failed_total", counters.relayedReadsFailed);
             addQuotaMetrics(text);
             add("unexpected_errors_total", counters.unexpectedErrors);
             for (const auto& use : budget_->use()) {
--- a/shallotdrift/src/Node/Watchers.cpp
+++ b/shallotdrift/src/Node/Watchers.cpp
@@ -11,6 +11,16 @@
 static constexpr Milliseconds configurationReadWait { 1500 };
 static constexpr Milliseconds responseTimeout { 600 }; // in addition to the long-polling time
 static constexpr Milliseconds retryDelay { 200 };
+// While other entry instances read the configuration from this one.
+static constexpr Milliseconds relayReadWait { 500 };
+// In addition to the time for which a relay holds a request.
+static constexpr Milliseconds relayTimeout { 400 };
+// A relay that reads without disturbance responds with records confirmed up to twice relayReadWait ago.
+static constexpr Milliseconds maximumRelayAge { 1400 };
+// A refused connection takes less time.
+static constexpr Milliseconds quickFailure { 100 };
+static constexpr Milliseconds ownersPatience { 1000 };
+static constexpr Milliseconds ownersPollInterval { 100 };
 // A worker that announces its drain must be vacated within DrainMs (2 s).
 static constexpr Milliseconds registryReadInterval { 200 };
 
@@ -24,21 +34,65 @@
     return text;
 }
 
-ConfigurationWatcher::ConfigurationWatcher(NodeContext& context, std::function<void()> onConfiguration)
+ConfigurationWatcher::ConfigurationWatcher(
+    NodeContext& context, Membership& membership, std::function<void()> onConfiguration)
     : context_(context)
+    , membership_(membership)
     , onConfiguration_(std::move(onConfiguration))
     , reader_(
           context, platform::operatorPartition(), [this](platform::KeyedRecord&& record) { apply(record); },
           [this](uint64_t endOffset) {
-              nextOffset_ = endOffset; // records appended while the pages are read are read again as changes
+              // Records appended while the pages are read are read again as changes.
+              cache_.nextOffset = std::max(cache_.nextOffset, endOffset);
+              snapshotDue_ = !context_.configuration;
+              onRead();
               confirm(snapshotBegunAt_);
-              watch();
+              readAfter(context_.configuration ? Milliseconds { 0 } : retryDelay);
           })
     , timer_(context.io)
+    , relay_(context, cache_, [this] { renewConfirmation(); })
+    , relays_(membership.memberId())
 {
 }
 
-void ConfigurationWatcher::start() { readSnapshot(); }
+void ConfigurationWatcher::start()
+{
+    startedAt_ = BootClock::now();
+    read();
+}
+
+// Reads once; each response leads to the next read.
+void ConfigurationWatcher::read()
+{
+    if (awaitsOwners()) {
+        membership_.refreshOwners();
+        readAfter(ownersPollInterval);
+        return;
+    }
+    auto relay = membership_.isOwner() ? std::nullopt : relays_.next(membership_.otherOwners(), BootClock::now());
+    if (relay)
+        readRelay(*relay);
+    else if (snapshotDue_)
+        readSnapshot();
+    else
+        readStore();
+}
+
+void ConfigurationWatcher::readAfter(Milliseconds time)
+{
+    timer_.expires_after(time);
+    timer_.async_wait([this](std::error_code error) {
+        if (!error)
+            read();
+    });
+}
+
+// After its start, a reserve waits for a short time until it knows an owner to read from.
+bool ConfigurationWatcher::awaitsOwners()
+{
+    return context_.settings.belowOwnershipMinimum() && !context_.configuration && !membership_.ownersKnown()
+        && BootClock::now() - startedAt_ < ownersPatience;
+}
 
 void ConfigurationWatcher::readSnapshot()
 {
@@ -50,57 +104,105 @@
 void ConfigurationWatcher::confirm(Instant readAt)
 {
     context_.configurationConfirmedAt = std::max(context_.configurationConfirmedAt, readAt);
+    relay_.onChange();
 }
 
 // A read that waits for changes confirms the configuration only when it ends. When the last confirmation is getting
-// old, for example after a response was lost, a read without a wait renews it sooner.
+// old, for example after a response was lost, a read without a wait renews it sooner. A relay keeps its confirmation
+// younger, since its readers' age adds to it.
 Milliseconds ConfigurationWatcher::readWait() const
 {
+    auto now = BootClock::now();
     auto bound = context_.settings.keyWithdrawalBound;
-    bool renewSoon = bound.count() > 0 && BootClock::now() - context_.configurationConfirmedAt > bound / 3;
-    return renewSoon ? Milliseconds { 0 } : configurationReadWait;
+    bool renewSoon = bound.count() > 0 && now - context_.configurationConfirmedAt > bound / 3;
+    if (renewSoon)
+        return Milliseconds { 0 };
+    return relay_.inUse(now) ? relayReadWait : configurationReadWait;
 }
 
-void ConfigurationWatcher::retry(bool restart)
+void ConfigurationWatcher::readStore()
 {
-    timer_.expires_after(retryDelay);
-    timer_.async_wait([this, restart](std::error_code error) {
-        if (error)
-            return;
-        if (restart)
-            readSnapshot();
-        else
-            watch();
-    });
+    auto wait = readWait();
+    auto sentAt = BootClock::now();
+    context_.store.send(platform::readRecordsRequest(platform::operatorPartition(), cache_.nextOffset, wait),
+        wait + responseTimeout, [this, sentAt](std::optional<HttpMessage> message) {
+            onStoreResponse(message ? platform::parseReadRecordsResponse(*message, cache_.nextOffset)
+                                    : platform::ReadRecordsResponse {},
+                message ? message->status : 0, sentAt);
+        });
 }
 
-void ConfigurationWatcher::watch()
+// Called while other entry instances read from this one, whose own read may still wait for a long time.
+void ConfigurationWatcher::renewConfirmation()
 {
-    if (!context_.configuration) {
-        retry(true);
+    if (snapshotDue_ || renewing_ || !membership_.isOwner())
         return;
-    }
-    auto wait = readWait();
+    renewing_ = true;
     auto sentAt = BootClock::now();
-    context_.store.send(platform::readRecordsRequest(platform::operatorPartition(), nextOffset_, wait),
-        wait + responseTimeout, [this, sentAt](std::optional<HttpMessage> message) {
-            auto response = message ? platform::parseReadRecordsResponse(*message, nextOffset_)
-                                    : platform::ReadRecordsResponse {};
-            if (response.status != platform::StoreStatus::Ok) {
-                onReadFailed(message ? message->status : 0);
-                retry(response.status == platform::StoreStatus::OffsetOutOfRange);
-                return;
-            }
-            onRead();
-            for (const auto& record : response.records)
-                apply(record);
-            nextOffset_ = response.nextOffset;
-            if (nextOffset_ >= response.endOffset)
+    auto from = cache_.nextOffset;
+    context_.store.send(platform::readRecordsRequest(platform::operatorPartition(), from, Milliseconds { 0 }),
+        responseTimeout, [this, sentAt, from](std::optional<HttpMessage> message) {
+            renewing_ = false;
+            auto response
+                = message ? platform::parseReadRecordsResponse(*message, from) : platform::ReadRecordsResponse {};
+            if (response.status == platform::StoreStatus::Ok && response.endOffset == from)
                 confirm(sentAt);
-            watch();
         });
 }
 
+void ConfigurationWatcher::onStoreResponse(
+    const platform::ReadRecordsResponse& response, unsigned status, Instant sentAt)
+{
+    if (response.status != platform::StoreStatus::Ok) {
+        snapshotDue_ = snapshotDue_ || response.status == platform::StoreStatus::OffsetOutOfRange;
+        onReadFailed(status);
+        readAfter(retryDelay);
+        return;
+    }
+    onRead();
+    for (const auto& record : response.records)
+        apply(record);
+    cache_.nextOffset = response.nextOffset;
+    if (cache_.nextOffset >= response.endOffset)
+        confirm(sentAt);
+    read();
+}
+
+void ConfigurationWatcher::readRelay(const std::string& address)
+{
+    auto sentAt = BootClock::now();
+    context_.peerClient.send(address, relayedRecordsRequest(snapshotDue_ ? 0 : cache_.nextOffset),
+        ConfigurationRelay::holdTime + relayTimeout,
+        [this, address, sentAt](HttpOutcome&& outcome) { onRelayResponse(address, sentAt, outcome); });
+}
+
+// The relay responded at least `held` after the request was sent, with records that were recent `age` before.
+void ConfigurationWatcher::onRelayResponse(const std::string& address, Instant sentAt, const HttpOutcome& outcome)
+{
+    auto now = BootClock::now();
+    auto relayed = outcome.hasResponse ? parseRelayedRecords(outcome.response) : std::nullopt;
+    if (relayed) {
+        for (const auto& record : relayed->records)
+            apply(record);
+        cache_.nextOffset = std::max(cache_.nextOffset, relayed->nextOffset);
+        snapshotDue_ = !context_.configuration;
+    }
+    if (relayed && relayed->age <= maximumRelayAge && context_.configuration) {
+        ++context_.counters.relayedReads;
+        onRead();
+        confirm(sentAt + relayed->held - relayed->age);
+        read();
+        return;
+    }
+    ++context_.counters.relayedReadsFailed;
+    logger("config")->info("event=relay_left relay={} status={} age_ms={} took_ms={}", address,
+        outcome.hasResponse ? outcome.response.status : 0, relayed ? relayed->age.count() : 0,
+        std::chrono::duration_cast<Milliseconds>(now - sentAt).count());
+    bool silent = !outcome.hasResponse && now - sentAt > quickFailure;
+    relays_.onFailure(address, silent, now);
+    read();
+}
+
 Milliseconds ConfigurationWatcher::unconfirmedTime() const
 {
     return std::chrono::duration_cast<Milliseconds>(BootClock::now() - context_.configurationConfirmedAt);
@@ -110,34 +212,51 @@
 void ConfigurationWatcher::onReadFailed(unsigned status)
 {
     ++context_.counters.configurationReadsFailed;
+    cache_.confirmable = false;
+    relay_.onChange();
     if (++failedReads_ == 1)
         logger("config")->warn("event=read_failed status={} offset={} version={} unconfirmed_ms={}", status,
-            nextOffset_, context_.configuration->version, unconfirmedTime().count());
+            cache_.nextOffset, context_.configuration ? context_.configuration->version : 0, unconfirmedTime().count());
 }
 
 void ConfigurationWatcher::onRead()
 {
+    relays_.onSuccess();
+    cache_.confirmable = true;
     if (failedReads_ > 0)
         logger("config")->info("event=read_resumed failures={} offset={} version={} unconfirmed_ms={}", failedReads_,
-            nextOffset_, context_.configuration->version, unconfirmedTime().count());
+            cache_.nextOffset, context_.configuration ? context_.configuration->version : 0, unconfirmedTime().count());
     failedReads_ = 0;
 }
 
+// The cache keeps the records in force; one that is older than they are is left out of both.
 void ConfigurationWatcher::apply(const platform::KeyedRecord& record)
 {
-    if (platform::isWaveKey(record.key)) {
-        if (auto wave = platform::decodeWaveRequest(record)) {
-            logger("config")->info("event=wave_received wave={} instances={} maximum_parallel={}", wave->number,
-                wave->instances.size(), wave->maximumParallel);
-            waves_[wave->number] = *wave;
-        } else if (!record.value.empty())
-            logger("config")->warn(
-                "event=entry_rejected key={} bytes={}", printableKey(record.key), record.value.size());
-        return;
+    if (platform::isWaveKey(record.key) ? applyWave(record) : applyConfiguration(record))
+        cache_.records.insert_or_assign(record.key, record);
+}
+
+bool ConfigurationWatcher::applyWave(const platform::KeyedRecord& record)
+{
+    auto known = cache_.records.find(record.key);
+    if (known != cache_.records.end() && record.offset < known->second.offset)
+        return false;
+    if (auto wave = platform::decodeWaveRequest(record)) {
+        logger("config")->info("event=wave_received wave={} instances={} maximum_parallel={}", wave->number,
+            wave->instances.size(), wave->maximumParallel);
+        waves_[wave->number] = *wave;
+        return true;
     }
+    if (!record.value.empty())
+        logger("config")->warn("event=entry_rejected key={} bytes={}", printableKey(record.key), record.value.size());
+    return false;
+}
+
+bool ConfigurationWatcher::applyConfiguration(const platform::KeyedRecord& record)
+{
     auto configuration = platform::decodeConfiguration(record);
     if (!configuration || (context_.configuration && configuration->version <= context_.configuration->version))
-        return;
+        return false;
     logger("config")->info(
         "event=configuration_applied version={} queues={} services={} accounts={} keys={} rejected={} bytes={} "
         "unconfirmed_ms={}",
@@ -146,6 +265,7 @@
         context_.configuration ? unconfirmedTime().count() : 0);
     context_.configuration = std::make_shared<const platform::Configuration>(std::move(*configuration));
     asio::post(context_.io, [this] { onConfiguration_(); }); // an exception there must not end this watcher
+    return true;
 }
 
 RegistryWatcher::RegistryWatcher(NodeContext& context, std::function<void()> onChange)
--- a/shallotdrift/src/Node/Watchers.h
+++ b/shallotdrift/src/Node/Watchers.h
@@ -1,38 +1,58 @@
 #pragma once
 
+#include "ConfigurationRelay.h"
+#include "Membership.h"
 #include "NodeContext.h"
 #include "RecordReader.h"
+#include "RelaySelection.h"
 
 #include <functional>
 #include <set>
 
 namespace shallotdrift::internal {
 
-// Keeps the configuration and the maintenance waves up to date with the operator's records in the store.
+// Keeps the configuration and the maintenance waves up to date with the operator's records. Owners of partitions read
+// them from the store; other entry instances read them from an owner, and from the store when that fails.
 class ConfigurationWatcher {
 public:
-    ConfigurationWatcher(NodeContext&, std::function<void()> onConfiguration);
+    ConfigurationWatcher(NodeContext&, Membership&, std::function<void()> onConfiguration);
 
     void start();
     // Returns the requested waves by wave number.
     const std::map<uint64_t, platform::WaveRequest>& waves() const { return waves_; }
+    // Passes the records on to other entry instances.
+    ConfigurationRelay& relay() { return relay_; }
 
 private:
-    void watch();
-    void retry(bool restart);
+    void read();
+    void readAfter(Milliseconds);
+    bool awaitsOwners();
     void readSnapshot();
+    void readStore();
+    void renewConfirmation();
+    void onStoreResponse(const platform::ReadRecordsResponse&, unsigned status, Instant sentAt);
+    void readRelay(const std::string& address);
+    void onRelayResponse(const std::string& address, Instant sentAt, const HttpOutcome&);
     Milliseconds readWait() const;
     void confirm(Instant readAt);
     void apply(const platform::KeyedRecord&);
+    bool applyWave(const platform::KeyedRecord&);
+    bool applyConfiguration(const platform::KeyedRecord&);
     void onReadFailed(unsigned status);
     void onRead();
     Milliseconds unconfirmedTime() const;
 
     NodeContext& context_;
+    Membership& membership_;
     std::function<void()> onConfiguration_;
     RecordReader reader_;
     asio::steady_timer timer_;
-    uint64_t nextOffset_ = 0;
+    OperatorRecordCache cache_;
+    ConfigurationRelay relay_;
+    RelaySelection relays_;
+    bool snapshotDue_ = true; // the records have to be read anew, since the store has removed earlier ones
+    bool renewing_ = false; // a read that renews the confirmation is in flight
+    Instant startedAt_ {};
     Instant snapshotBegunAt_ {};
     uint64_t failedReads_ = 0; // since the last successful one
     std::map<uint64_t, platform::WaveRequest> waves_;
