Do not give up a response of the store that still arrives

Callers were answered as of an older configuration, or found no service after all processes had been killed at once: for 30 s at 1,000 entry instances. Cause: each request had one timeout for its whole response. A large one whose bytes come slowly, since many readers share the store's link, was given up and requested again from its beginning.

Now a request to the store or to another entry instance times out while its response arrives only when no byte has come for a while (progressTimeout), and in any case after a bounded extension. Before the first byte nothing changes.

Evidence: responsesThatArriveSlowlyAreNotGivenUp; its last section shows the behaviour of before, which is that without the option.

--- a/shallotdrift/src/Http/HttpClient.cpp
+++ b/shallotdrift/src/Http/HttpClient.cpp
@@ -90,6 +90,7 @@
         void write();
         void read();
         void onRead(std::error_code, size_t);
+        void extendDeadline();
         void fail(bool timedOut);
         void onDeadline() override;
 
@@ -209,6 +210,7 @@
         }
         size_t used = reader_.feed({ shared_.readBuffer.data(), length });
         if (reader_.state() == HttpReader::State::Reading) {
+            extendDeadline();
             read();
             return;
         }
@@ -241,6 +243,18 @@
         exchange->finish(shared_.io, std::move(outcome));
     }
 
+    // A large response may take longer than the timeout when many readers share the link of the server. To request it
+    // again would start the transfer anew.
+    void Connection::extendDeadline()
+    {
+        const auto& options = shared_.options;
+        if (options.progressTimeout.count() == 0 || identifying_)
+            return;
+        auto latest = exchange_->deadline + options.maximumExtension;
+        shared_.deadlines.set(
+            *this, std::max(exchange_->deadline, std::min(latest, BootClock::now() + options.progressTimeout)));
+    }
+
     void Connection::fail(bool timedOut)
     {
         auto self = shared_from_this();
--- a/shallotdrift/src/Http/HttpClient.h
+++ b/shallotdrift/src/Http/HttpClient.h
@@ -16,6 +16,10 @@
     size_t maximumResponseBytes = 8 << 20;
     Milliseconds connectTimeout { 400 }; // enough to repeat one lost SYN within a region
     Milliseconds idleTimeout { 10000 };
+    // While a response arrives, its request times out only when no byte has come for this time. 0: progress does not
+    // count.
+    Milliseconds progressTimeout { 0 };
+    Milliseconds maximumExtension { 10000 }; // of a request's timeout by progress
 };
 
 // Result of a request. If sent is true, the server may have processed the request even if there is no response.
@@ -47,7 +51,8 @@
     HttpClient& operator=(const HttpClient&) = delete;
 
     // Sends the request to "IP:port". The handler is called once, never from within send(). On failure, the outcome has
-    // no response. The timeout includes the wait for a free connection and the identification of the peer.
+    // no response. The timeout includes the wait for a free connection and the identification of the peer; see
+    // HttpClientOptions::progressTimeout.
     void send(const std::string& address, HttpRequest, Milliseconds timeout, Handler,
         std::shared_ptr<const HttpPeer> = nullptr);
     // Number of connections opened since the start.
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -21,8 +21,10 @@
 
 // A worker accepts 64 connections. An owner uses one for the long-polling lease renewal and a few for orders.
 static constexpr HttpClientOptions workerOptions { 5, 8 << 20, Milliseconds { 500 }, Milliseconds { 30000 } };
-static constexpr HttpClientOptions peerOptions { 16, 8 << 20, Milliseconds { 300 }, Milliseconds { 8000 } };
-static constexpr HttpClientOptions platformOptions { 12, 16 << 20, Milliseconds { 400 }, Milliseconds { 30000 } };
+static constexpr HttpClientOptions peerOptions { 16, 8 << 20, Milliseconds { 300 }, Milliseconds { 8000 },
+    Milliseconds { 300 } };
+static constexpr HttpClientOptions platformOptions { 12, 16 << 20, Milliseconds { 400 }, Milliseconds { 30000 },
+    Milliseconds { 600 } };
 // The platform checks readiness once a second and stops sending new connections after two failed checks.
 static constexpr Milliseconds listenTimeAfterStop { 2600 };
 // Part of the grace period that is kept for writing the last responses.
--- a/test/HttpClientTest.cpp
+++ b/test/HttpClientTest.cpp
@@ -6,6 +6,7 @@
 #include "shallotdrift/src/Http/HttpServer.h"
 
 #include <algorithm>
+#include <asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
 #include <vector>
@@ -61,6 +62,47 @@
         std::unique_ptr<HttpServer> server;
     };
 
+    // Sends the bytes of a response one by one to the first connection.
+    struct SlowServer {
+        explicit SlowServer(std::string bytesToSend)
+            : bytes(std::move(bytesToSend))
+        {
+            acceptor.async_accept(socket, [this](std::error_code) { sendNext(); });
+        }
+
+        void sendNext()
+        {
+            if (sent == bytes.size())
+                return;
+            std::error_code ignored;
+            asio::write(socket, asio::buffer(&bytes[sent++], 1), ignored);
+            timer.expires_after(Milliseconds { 10 });
+            timer.async_wait([this](std::error_code error) {
+                if (!error)
+                    sendNext();
+            });
+        }
+
+        HttpOutcome request(HttpClientOptions options)
+        {
+            HttpClient client(io, deadlines, options);
+            std::optional<HttpOutcome> result;
+            client.send(fmt::format("127.0.0.1:{}", acceptor.local_endpoint().port()), { "GET", "/", {}, {}, {} },
+                Milliseconds { 200 }, [&](HttpOutcome&& outcome) { result = std::move(outcome); });
+            while (!result)
+                io.run_for(Milliseconds { 5 });
+            return std::move(*result);
+        }
+
+        std::string bytes;
+        size_t sent = 0;
+        asio::io_context io { 1 };
+        DeadlineQueue deadlines { io };
+        asio::ip::tcp::acceptor acceptor { io, { asio::ip::make_address("127.0.0.1"), 0 } };
+        asio::ip::tcp::socket socket { io };
+        asio::steady_timer timer { io };
+    };
+
 } // namespace
 
 class HttpClientTest : public CppUnit::TestFixture {
@@ -68,6 +110,7 @@
     CPPUNIT_TEST(boundRequestsReachNoOtherProcess);
     CPPUNIT_TEST(requestsToAnyProcessIdentifyIt);
     CPPUNIT_TEST(requestsWithoutIdentificationAreNotSent);
+    CPPUNIT_TEST(responsesThatArriveSlowlyAreNotGivenUp);
     CPPUNIT_TEST_SUITE_END();
 
     using Targets = std::vector<std::string>;
@@ -106,6 +149,29 @@
         CPPUNIT_ASSERT(peer.targets == (Targets { orderTarget, orderTarget }));
     }
 
+    // Guards against a large response that is requested again and again, because it takes longer than the timeout.
+    void responsesThatArriveSlowlyAreNotGivenUp()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n";
+        HttpClientOptions options;
+        options.progressTimeout = Milliseconds { 150 };
+        {
+            Section section("a response whose bytes keep coming arrives");
+            CPPUNIT_ASSERT(SlowServer(head + std::string(30, 'x')).request(options).hasResponse);
+        }
+        {
+            Section section("one that stops halfway is given up");
+            CPPUNIT_ASSERT(!SlowServer(head + "x").request(options).hasResponse);
+        }
+        {
+            Section section("and so is one that never ends");
+            options.maximumExtension = Milliseconds { 100 };
+            CPPUNIT_ASSERT(!SlowServer(head + std::string(30, 'x')).request(options).hasResponse);
+        }
+        Section section("without the option, the timeout stands");
+        CPPUNIT_ASSERT(!SlowServer(head + std::string(30, 'x')).request(HttpClientOptions {}).hasResponse);
+    }
+
     void requestsWithoutIdentificationAreNotSent()
     {
         ReplaceableServer peer;
