Read the owners less often while the store refuses reads

Callers of a thousand entry instances whose owner was silent made every instance read the owners up to 8 times a second: 8,000 reads a second, of 6,000 that the store takes from all of them.

Cause: the interval did not depend on whether the store served the read. Now it doubles with each read that fails, up to the interval of the regular reads, and shrinks by a quarter with each that succeeds, so that the instances together stay near the store's limit.

Evidence: ownersAreReadLessOftenWhileTheStoreRefuses fails with a fixed interval (25 reads in 3 s) and passes with this one.

--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -15,6 +15,9 @@
 static constexpr Milliseconds retryDelay { 250 };
 static constexpr Milliseconds ownersReadInterval { 1500 }; // a failed request to an owner triggers a read, too
 static constexpr Milliseconds minimumOwnersReadInterval { 120 };
+// While the store refuses reads. Its limit is one for all entry instances and all kinds of reads.
+static constexpr Milliseconds maximumOwnersReadInterval { 1500 };
+static constexpr int intervalGrowth = 2; // factor for each read that fails; each success takes a quarter off
 // A partition is handed over when its old and its new owner have joined again, so a planned stop interrupts a service
 // for up to this time. The store's request limit counts a join as a tenth of a request.
 static constexpr Milliseconds joinInterval { 250 };
@@ -48,6 +51,7 @@
     , callbacks_(std::move(callbacks))
     , groupMember_ { groupName, makeMemberId(context.settings), { stateTopicName }, context.settings.membershipTimeout,
         0 }
+    , ownersReadInterval_(minimumOwnersReadInterval)
     , joinTimer_(context.io)
     , ownersTimer_(context.io)
 {
@@ -253,7 +257,7 @@
 void Membership::refreshOwners()
 {
     auto now = BootClock::now();
-    if (ownersRequestInFlight_ || now - ownersRequestedAt_ < minimumOwnersReadInterval)
+    if (ownersRequestInFlight_ || now - ownersRequestedAt_ < ownersReadInterval_)
         return;
     ownersRequestInFlight_ = true;
     ownersRequestedAt_ = now;
@@ -262,7 +266,10 @@
             ownersRequestInFlight_ = false;
             auto response
                 = message ? platform::parsePartitionOwnersResponse(*message) : platform::PartitionOwnersResponse {};
-            if (response.status != platform::StoreStatus::Ok)
+            bool read = response.status == platform::StoreStatus::Ok;
+            ownersReadInterval_ = std::clamp(read ? ownersReadInterval_ * 3 / 4 : ownersReadInterval_ * intervalGrowth,
+                minimumOwnersReadInterval, maximumOwnersReadInterval);
+            if (!read)
                 return; // the last known owners stay
             owners_.clear();
             for (const auto& owner : response.owners)
--- a/shallotdrift/src/Node/Membership.h
+++ b/shallotdrift/src/Node/Membership.h
@@ -61,6 +61,7 @@
     NodeContext& context_;
     Callbacks callbacks_;
     platform::GroupMember groupMember_;
+    Milliseconds ownersReadInterval_; // least time between two reads of the owners
     asio::steady_timer joinTimer_;
     asio::steady_timer ownersTimer_;
     std::set<uint32_t> owned_;
--- a/test/MembershipTest.cpp
+++ b/test/MembershipTest.cpp
@@ -17,7 +17,7 @@
 
     // A member of the group of owners, and the store. The store's responses to the member can be lost.
     struct MembershipHarness {
-        enum class Store : uint8_t { Responds, LosesResponses, IsUnreachable };
+        enum class Store : uint8_t { Responds, LosesResponses, IsUnreachable, Refuses };
 
         MembershipHarness()
         {
@@ -31,6 +31,10 @@
                     if (mode == Store::IsUnreachable)
                         return;
                     ++handled;
+                    if (mode == Store::Refuses) {
+                        respond({ 429 });
+                        return;
+                    }
                     store.handle(
                         request, mode == Store::Responds ? std::move(respond) : [](HttpResponse&&) {});
                 });
@@ -99,6 +103,7 @@
     CPPUNIT_TEST_SUITE(MembershipTest);
     CPPUNIT_TEST(expiredOwnershipIsNotContinued);
     CPPUNIT_TEST(unknownJobsAreDeniedOnlyByAConfirmedOwner);
+    CPPUNIT_TEST(ownersAreReadLessOftenWhileTheStoreRefuses);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -135,6 +140,33 @@
             CPPUNIT_ASSERT(generation > first.at(partition));
     }
 
+    // Guards against reads of the owners that use up the limit which the reads of the configuration share.
+    void ownersAreReadLessOftenWhileTheStoreRefuses()
+    {
+        using Store = MembershipHarness::Store;
+        MembershipHarness harness;
+        harness.runUntil([&] { return harness.owned.size() == partitions; });
+        harness.mode = Store::Refuses;
+        auto path = platform::partitionOwnersRequest({}).target;
+        path.resize(path.find('?'));
+        auto refused = [&] { return harness.storeClient->requestCounts().at(path).refused; };
+        auto begin = refused();
+        auto end = BootClock::now() + Milliseconds { 3000 };
+        harness.runUntil([&] {
+            harness.membership->refreshOwners(); // as a request that waits for its owner does
+            return BootClock::now() >= end;
+        });
+        CPPUNIT_ASSERT(refused() > begin);
+        CPPUNIT_ASSERT(refused() - begin <= 6); // 25 at the least interval
+        Section section("and soon again when it serves");
+        harness.mode = Store::Responds;
+        auto sent = [&] { return harness.storeClient->requestCounts().at(path).sent; };
+        auto sentBefore = sent();
+        harness.runFor(Milliseconds { 1700 });
+        harness.membership->refreshOwners();
+        CPPUNIT_ASSERT(sent() > sentBefore);
+    }
+
     // Guards against a cancellation without effect: the store had assigned a partition anew, and its former owner,
     // which had not heard of that yet, answered that it did not know a job that the next owner had accepted.
     void unknownJobsAreDeniedOnlyByAConfirmedOwner()
