Let the router ask again when the owner has another configuration

Where a queue had moved to a service of another owner, the former one made a scheduler of its own for that service and started jobs on the same workers.

Cause: the router and the owner look the queue up in two configurations, and the owner answered finally from an older one. The version by which the router found the queue now decides: an owner that is behind it, or that does not own the queue's service, answers 421 as one that has lost the partition, so the router asks again within its window and then refuses the job as not run.

--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -303,10 +303,14 @@
         respond(notRunResponse("not run: the store does not answer"));
         return;
     }
+    if (auto refusal = refuseQueue(request.queue, request.configurationVersion)) {
+        logQueueRefusal(request.job, request.queue, refusal->status, request.configurationVersion);
+        respond(std::move(*refusal));
+        return;
+    }
     auto account = request.account.value_or(std::string());
-    auto queue = context_.configuration->queues.find(request.queue);
-    bool beyondShare = queue != context_.configuration->queues.end()
-        && !service(queue->second.service).scheduler.shares().take(account, BootClock::now());
+    const auto& queue = context_.configuration->queues.at(request.queue);
+    bool beyondShare = !service(queue.service).scheduler.shares().take(account, BootClock::now());
     if (refuseBeyondShare(request, beyondShare, respond))
         return;
     submissions_.push_back({ std::move(request.queue), std::move(request.job), std::move(account), beyondShare,
@@ -314,6 +318,28 @@
     runSchedulingCycle();
 }
 
+// The router found the queue in a configuration of its own. If that is newer, or the queue's service has another owner
+// here, the router asks again until both have the same one, or refuses the request as not run.
+std::optional<HttpResponse> OwnedPartition::refuseQueue(const std::string& name, uint64_t routerVersion) const
+{
+    auto queue = context_.configuration->queues.find(name);
+    if (queue == context_.configuration->queues.end()) {
+        if (routerVersion > context_.configuration->version)
+            return HttpResponse { notOwnerStatus };
+        return errorResponse(404, "no such queue");
+    }
+    if (partitionOf(queue->second.service, context_.settings.storePartitions) != number_)
+        return HttpResponse { notOwnerStatus };
+    return std::nullopt;
+}
+
+void OwnedPartition::logQueueRefusal(
+    const std::string& job, const std::string& queue, unsigned status, uint64_t routerVersion) const
+{
+    logger("owner")->info("request={} event=refused queue={} reason=no_queue status={} version={} router_version={}",
+        job, queue, status, context_.configuration->version, routerVersion);
+}
+
 // A job beyond the share of its account starts only in room that the others leave. If the accepted work keeps the
 // workers busy beyond the time in which the job should start, it is refused at once, and the callers' returns are
 // spread over the time that the work takes.
@@ -354,15 +380,14 @@
     submissions_.clear();
     for (auto& submission : submissions) {
         if (!hasJob(submission.job)) {
-            auto queue = context_.configuration->queues.find(submission.queue);
-            if (queue == context_.configuration->queues.end()) {
-                logger("owner")->info("request={} event=refused queue={} reason=no_queue version={} router_version={}",
-                    submission.job, submission.queue, context_.configuration->version, submission.configurationVersion);
-                submission.respond(errorResponse(404, "no such queue"));
+            if (auto refusal = refuseQueue(submission.queue, submission.configurationVersion)) {
+                logQueueRefusal(submission.job, submission.queue, refusal->status, submission.configurationVersion);
+                submission.respond(std::move(*refusal));
                 continue;
             }
-            Job job(submission.job, submission.queue, queue->second.service, std::move(submission.spec), wallNow(),
-                queue->second.maximumAttempts);
+            const auto& queue = context_.configuration->queues.at(submission.queue);
+            Job job(submission.job, submission.queue, queue.service, std::move(submission.spec), wallNow(),
+                queue.maximumAttempts);
             job.setAccount(std::move(submission.account));
             job.setBeyondShare(submission.beyondShare);
             if (!specFitsRecord(job, context_.settings.recordBytes)) {
--- a/test/MembershipTest.cpp
+++ b/test/MembershipTest.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST_SUITE(MembershipTest);
     CPPUNIT_TEST(expiredOwnershipIsNotContinued);
     CPPUNIT_TEST(unknownJobsAreDeniedOnlyByAConfirmedOwner);
+    CPPUNIT_TEST(jobsAreNotTakenByAnotherConfigurationThanTheRouters);
     CPPUNIT_TEST(ownersAreReadLessOftenWhileTheStoreRefuses);
     CPPUNIT_TEST_SUITE_END();
 
@@ -140,6 +141,63 @@
             CPPUNIT_ASSERT(generation > first.at(partition));
     }
 
+    // Guards against 404 for a queue that the owner has not heard of yet, and against jobs of a service that another
+    // instance owns, because the router and the owner read the queue in different configurations.
+    void jobsAreNotTakenByAnotherConfigurationThanTheRouters()
+    {
+        MembershipHarness harness;
+        harness.runUntil([&] { return harness.owned.size() == partitions; });
+        auto partition = [](const std::string& service) { return internal::partitionOf(service, partitions); };
+        const std::string service = "reports";
+        std::string other = "reports-0";
+        for (int i = 1; partition(other) == partition(service); ++i)
+            other = "reports-" + std::to_string(i);
+        auto configure = [&](uint64_t version, const std::string& renderService) {
+            platform::Configuration configuration;
+            configuration.version = version;
+            for (const auto& name : { service, other })
+                configuration.services[name] = { name, true, false };
+            if (!renderService.empty()) {
+                QueueConfiguration queue;
+                queue.name = "render";
+                queue.service = renderService;
+                configuration.queues["render"] = queue;
+            }
+            harness.context->configuration = std::make_shared<const platform::Configuration>(configuration);
+        };
+        configure(5, "");
+        harness.settings.storePartitions = partitions;
+        auto number = partition(service);
+        auto owner
+            = std::make_shared<internal::OwnedPartition>(*harness.context, number, harness.owned.at(number), [] {});
+        owner->start();
+        harness.runUntil([&] { return owner->active(); });
+        auto submit = [&](const char* job, uint64_t routerVersion) {
+            std::optional<unsigned> status;
+            internal::OwnerRequest request { internal::OwnerRequest::Type::Submit, "render", job,
+                R"({"Spec":"x","Steps":[{"Count":1,"Cpu":100,"MemMb":10}]})" };
+            request.configurationVersion = routerVersion;
+            owner->handle(std::move(request), [&](HttpResponse&& response) { status = response.status; });
+            harness.runUntil([&] { return status.has_value(); });
+            return *status;
+        };
+        {
+            Section section("a queue that only the router knows is asked for again");
+            CPPUNIT_ASSERT_EQUAL(421U, submit("000000000000000a", 6));
+            CPPUNIT_ASSERT_EQUAL(404U, submit("000000000000000a", 5));
+        }
+        {
+            Section section("a queue of a service that has another owner takes no job");
+            configure(7, other);
+            CPPUNIT_ASSERT_EQUAL(421U, submit("000000000000000a", 6));
+            CPPUNIT_ASSERT_EQUAL(421U, submit("000000000000000a", 7));
+            CPPUNIT_ASSERT(owner->services().count(other) == 0);
+        }
+        Section section("both agree");
+        configure(8, service);
+        CPPUNIT_ASSERT_EQUAL(200U, submit("000000000000000a", 8));
+    }
+
     // Guards against reads of the owners that use up the limit which the reads of the configuration share.
     void ownersAreReadLessOftenWhileTheStoreRefuses()
     {
