Slow the reads of the owners down for the store's limit only

After an outage of the store, callers whose owner had changed would have waited up to 1.4 s longer for the next read of the owners: the interval also grew with reads that were unanswered or refused for another reason, as during an outage. Only 429 says that the instances together read too much.

--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -15,9 +15,10 @@
 static constexpr Milliseconds retryDelay { 250 };
 static constexpr Milliseconds ownersReadInterval { 1500 }; // a failed request to an owner triggers a read, too
 static constexpr Milliseconds minimumOwnersReadInterval { 120 };
-// While the store refuses reads. Its limit is one for all entry instances and all kinds of reads.
+// While the store refuses reads beyond its limit, which is one for all entry instances and all kinds of reads.
+static constexpr unsigned rateLimitedStatus = 429;
 static constexpr Milliseconds maximumOwnersReadInterval { 1500 };
-static constexpr int intervalGrowth = 2; // factor for each read that fails; each success takes a quarter off
+static constexpr int intervalGrowth = 2; // factor for each read that is refused so; each success takes a quarter off
 // A partition is handed over when its old and its new owner have joined again, so a planned stop interrupts a service
 // for up to this time. The store's request limit counts a join as a tenth of a request.
 static constexpr Milliseconds joinInterval { 250 };
@@ -267,8 +268,11 @@
             auto response
                 = message ? platform::parsePartitionOwnersResponse(*message) : platform::PartitionOwnersResponse {};
             bool read = response.status == platform::StoreStatus::Ok;
-            ownersReadInterval_ = std::clamp(read ? ownersReadInterval_ * 3 / 4 : ownersReadInterval_ * intervalGrowth,
-                minimumOwnersReadInterval, maximumOwnersReadInterval);
+            bool limited = message && message->status == rateLimitedStatus;
+            if (read || limited)
+                ownersReadInterval_
+                    = std::clamp(read ? ownersReadInterval_ * 3 / 4 : ownersReadInterval_ * intervalGrowth,
+                        minimumOwnersReadInterval, maximumOwnersReadInterval);
             if (!read)
                 return; // the last known owners stay
             owners_.clear();
