Bound the memory that readers of the configuration take at a relay

Cause: while the first instance that has joined owns all partitions, all others read from it at once, and each response is a copy of the configuration. Now a relay lets in as many readers as 16 MB of responses allow, and refuses the others at once, which then ask another relay or the store.

Evidence: relaysRefuseReadersBeyondTheirMemory.

--- a/shallotdrift/src/Node/ConfigurationRelay.cpp
+++ b/shallotdrift/src/Node/ConfigurationRelay.cpp
@@ -2,6 +2,7 @@
 
 #include "ErrorResponses.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -17,6 +18,10 @@
 static constexpr Milliseconds renewalAge { 600 };
 // A relay counts as in use for this time after a request.
 static constexpr Milliseconds useTimeout { 3000 };
+// Of the responses to all waiting readers together.
+static constexpr size_t maximumResponseBytes = 16 << 20;
+static constexpr size_t fewestReaders = 8;
+static constexpr size_t mostReaders = 200;
 // Longer times in a response are taken as unreadable.
 static constexpr uint64_t maximumMilliseconds = 86'400'000;
 
@@ -88,6 +93,10 @@
         return;
     }
     WaitingReader reader { *from, now, std::move(respond) };
+    if (waiting_.size() >= maximumReaders()) {
+        reader.respond(notRunResponse("too many readers"));
+        return;
+    }
     if (tryRespond(reader, now))
         return;
     waiting_.push_back(std::move(reader));
@@ -95,6 +104,15 @@
         awaitHoldEnd();
 }
 
+// A change is sent to all waiting readers at once, each with a copy of its own.
+size_t ConfigurationRelay::maximumReaders() const
+{
+    size_t bytes = 0;
+    for (const auto& [key, record] : cache_.records)
+        bytes += record.value.size();
+    return std::clamp(maximumResponseBytes / std::max<size_t>(bytes, 1), fewestReaders, mostReaders);
+}
+
 const std::string& ConfigurationRelay::encodedSince(uint64_t from)
 {
     static constexpr size_t maximumEncodings = 64;
@@ -140,9 +158,14 @@
     auto now = BootClock::now();
     auto waiting = std::move(waiting_);
     waiting_.clear();
-    for (auto& reader : waiting)
-        if (!tryRespond(reader, now))
-            waiting_.push_back(std::move(reader));
+    // Readers may have come before the size of the records was known.
+    auto limit = maximumReaders();
+    for (size_t i = 0; i < waiting.size(); ++i) {
+        if (i >= limit)
+            waiting[i].respond(notRunResponse("too many readers"));
+        else if (!tryRespond(waiting[i], now))
+            waiting_.push_back(std::move(waiting[i]));
+    }
 }
 
 void ConfigurationRelay::awaitHoldEnd()
--- a/shallotdrift/src/Node/ConfigurationRelay.h
+++ b/shallotdrift/src/Node/ConfigurationRelay.h
@@ -31,7 +31,8 @@
 std::optional<RelayedRecords> parseRelayedRecords(const HttpMessage&);
 
 // Passes the operator's records on to entry instances that own nothing, so that the store sends them to few readers
-// only. A request waits for a change, for a limited time.
+// only. A request waits for a change, for a limited time. Readers beyond the memory that their responses may take are
+// refused, and ask elsewhere.
 class ConfigurationRelay {
 public:
     // Time for which a request waits for a change. A reader notices within it that its relay no longer hears the store.
@@ -54,6 +55,7 @@
         HttpServer::ResponseCallback respond;
     };
 
+    size_t maximumReaders() const;
     bool tryRespond(const WaitingReader&, Instant now);
     const std::string& encodedSince(uint64_t from);
     void awaitHoldEnd();
--- a/test/ConfigurationDistributionTest.cpp
+++ b/test/ConfigurationDistributionTest.cpp
@@ -30,7 +30,8 @@
                 , server(fleet.io, fleet.deadlines,
                       HttpServerOptions { fmt::format("{}:{}", settings.ip, settings.firstInternalPort) },
                       [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
-                          watcher.relay().handle(request, std::move(respond));
+                          if (!silent)
+                              watcher.relay().handle(request, std::move(respond));
                       })
             {
                 handleError([&] { return server.start(); }, [](const Error& error) { CPPUNIT_FAIL(error.message); });
@@ -52,6 +53,7 @@
             internal::Membership membership;
             internal::ConfigurationWatcher watcher;
             HttpServer server; // for other entry instances
+            bool silent = false; // to them
         };
 
         explicit FleetOfReaders(size_t count)
@@ -105,6 +107,14 @@
                 readers.begin(), readers.end(), [&](const auto& reader) { return reader->version() == version; });
         }
 
+        uint64_t relayedReads() const
+        {
+            uint64_t count = 0;
+            for (const auto& reader : readers)
+                count += reader->context.counters.relayedReads;
+            return count;
+        }
+
         // Returns whether all readers have the version within the time.
         bool reachesAll(uint64_t version, Milliseconds time)
         {
@@ -127,6 +137,9 @@
 class ConfigurationDistributionTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(ConfigurationDistributionTest);
     CPPUNIT_TEST(changesReachManyInstancesWhileTheStoresBandwidthIsShort);
+    CPPUNIT_TEST(changesArriveAlthoughTheRelaysAreSilent);
+    CPPUNIT_TEST(relayedConfirmationsAreNoLaterThanThoseOfTheStore);
+    CPPUNIT_TEST(relaysRefuseReadersBeyondTheirMemory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -150,6 +163,63 @@
             CPPUNIT_ASSERT(fleet.reachesAll(4, applyBound));
         }
     }
+
+    // Guards against an instance that misses a change because the owners that it reads from have stopped responding.
+    void changesArriveAlthoughTheRelaysAreSilent()
+    {
+        static constexpr Milliseconds applyBound { 2000 };
+        FleetOfReaders fleet(12);
+        CPPUNIT_ASSERT(fleet.reachesAll(1, Milliseconds { 10000 }));
+        fleet.runFor(Milliseconds { 2000 });
+        CPPUNIT_ASSERT(fleet.relayedReads() > 0);
+        for (auto& reader : fleet.readers)
+            reader->silent = true;
+        fleet.publish(2);
+        CPPUNIT_ASSERT(fleet.reachesAll(2, applyBound));
+    }
+
+    // Guards against withdrawn keys that stay in use: an instance took its configuration for newer than it was known to
+    // be, since a relay that no longer heard the store had passed it on.
+    void relayedConfirmationsAreNoLaterThanThoseOfTheStore()
+    {
+        FleetOfReaders fleet(12);
+        CPPUNIT_ASSERT(fleet.reachesAll(1, Milliseconds { 10000 }));
+        fleet.runFor(Milliseconds { 2500 });
+        auto age = [](const auto& reader) { return BootClock::now() - reader->context.configurationConfirmedAt; };
+        {
+            Section section("in calm, all are confirmed within three seconds");
+            for (const auto& reader : fleet.readers)
+                CPPUNIT_ASSERT(age(reader) < Milliseconds { 3200 });
+        }
+        Section section("while the store is down, none is confirmed later than the outage began");
+        fleet.store.faults().down = true;
+        auto downAt = BootClock::now();
+        fleet.runFor(Milliseconds { 2500 });
+        for (const auto& reader : fleet.readers)
+            CPPUNIT_ASSERT(reader->context.configurationConfirmedAt <= downAt);
+    }
+
+    // Guards against an owner whose memory is used up by many readers of a large configuration.
+    void relaysRefuseReadersBeyondTheirMemory()
+    {
+        FleetOfReaders fleet(1);
+        CPPUNIT_ASSERT(fleet.reachesAll(1, Milliseconds { 10000 }));
+        auto& relay = fleet.readers.front()->watcher.relay();
+        auto readers = 2 * (16U << 20) / fleet.configurationBytes;
+        size_t refused = 0;
+        size_t answered = 0;
+        HttpMessage request;
+        request.method = "GET";
+        request.target = internal::relayedRecordsRequest(1000).target;
+        for (size_t i = 0; i < readers; ++i)
+            relay.handle(request, [&](HttpResponse&& response) { ++(response.status == 503 ? refused : answered); });
+        CPPUNIT_ASSERT(refused >= readers / 2);
+        CPPUNIT_ASSERT(refused < readers);
+        CPPUNIT_ASSERT_EQUAL(size_t { 0 }, answered);
+        Section section("the others are answered within the hold time");
+        fleet.runFor(internal::ConfigurationRelay::holdTime + Milliseconds { 200 });
+        CPPUNIT_ASSERT_EQUAL(readers, refused + answered);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationDistributionTest);
