Take keys only where the store itself is heard

Callers with a key stayed at entry instances that the store refused for 8 s, since these read the configuration from another instance and reported themselves as ready. Such an instance hears of no change of owner, so that jobs were refused there which another instance would have taken.

Now a key needs both: a confirmed configuration, and a response of the store within the same bound. The interval of the owners' reads ends at 800 ms instead of 1,500, which is enough for a thousand instances at 6,000 reads a second.

--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -17,7 +17,7 @@
 static constexpr Milliseconds minimumOwnersReadInterval { 120 };
 // While the store refuses reads beyond its limit, which is one for all entry instances and all kinds of reads.
 static constexpr unsigned rateLimitedStatus = 429;
-static constexpr Milliseconds maximumOwnersReadInterval { 1500 };
+static constexpr Milliseconds maximumOwnersReadInterval { 800 };
 static constexpr int intervalGrowth = 2; // factor for each read that is refused so; each success takes a quarter off
 // A partition is handed over when its old and its new owner have joined again, so a planned stop interrupts a service
 // for up to this time. The store's request limit counts a join as a tenth of a request.
--- a/shallotdrift/src/Node/RequestRouter.cpp
+++ b/shallotdrift/src/Node/RequestRouter.cpp
@@ -54,10 +54,14 @@
         && (!context_.configuration->hasAccounts || keysConfirmed());
 }
 
+// An instance that reads the keys from a relay but has lost the store itself hears of no change of owner, so its
+// callers are better served elsewhere.
 bool RequestRouter::keysConfirmed() const
 {
-    return KeyConfirmation { context_.settings.keyWithdrawalBound }.holds(
-        context_.configurationConfirmedAt, BootClock::now());
+    KeyConfirmation confirmation { context_.settings.keyWithdrawalBound };
+    auto now = BootClock::now();
+    return confirmation.holds(context_.configurationConfirmedAt, now)
+        && confirmation.holds(now - context_.store.timeSinceResponse(now), now);
 }
 
 RequestRouter::Admission RequestRouter::authorize(const HttpMessage& head, const QueueConfiguration& queue) const
