Hold the readers of a relay while it reads a compacted history

After a compaction of the operator's records, an owner refused its readers until it had read them anew, so that all entry instances read them from the store at once; callers would have been answered as of an older configuration meanwhile. Now the readers wait for the owner as for any change, and see the age of its records. Also a conversion that the linter rejects in the test of relays.

--- a/shallotdrift/src/Node/Watchers.cpp
+++ b/shallotdrift/src/Node/Watchers.cpp
@@ -154,8 +154,10 @@
     const platform::ReadRecordsResponse& response, unsigned status, Instant sentAt)
 {
     if (response.status != platform::StoreStatus::Ok) {
-        snapshotDue_ = snapshotDue_ || response.status == platform::StoreStatus::OffsetOutOfRange;
-        onReadFailed(status);
+        if (response.status == platform::StoreStatus::OffsetOutOfRange)
+            snapshotDue_ = true; // the readers of a relay wait for the records, and do not all read them themselves
+        else
+            onReadFailed(status);
         readAfter(retryDelay);
         return;
     }
--- a/test/ConfigurationDistributionTest.cpp
+++ b/test/ConfigurationDistributionTest.cpp
@@ -205,7 +205,8 @@
         FleetOfReaders fleet(1);
         CPPUNIT_ASSERT(fleet.reachesAll(1, Milliseconds { 10000 }));
         auto& relay = fleet.readers.front()->watcher.relay();
-        auto readers = 2 * (16U << 20) / fleet.configurationBytes;
+        static constexpr size_t maximumResponseBytes = 16 << 20; // of a relay's readers together
+        auto readers = 2 * maximumResponseBytes / fleet.configurationBytes;
         size_t refused = 0;
         size_t answered = 0;
         HttpMessage request;
