Ask one function for the own address and for the configuration's age

Four places compared an address with this instance's member id, each in its own way, and five computed the time since the configuration was confirmed. Membership::isOwnAddress and NodeContext::configurationAge serve all of them.

--- a/shallotdrift/src/Node/ConfigurationRelay.cpp
+++ b/shallotdrift/src/Node/ConfigurationRelay.cpp
@@ -25,11 +25,6 @@
 // Longer times in a response are taken as unreadable.
 static constexpr uint64_t maximumMilliseconds = 86'400'000;
 
-static Milliseconds millisecondsBetween(Instant begin, Instant end)
-{
-    return std::chrono::duration_cast<Milliseconds>(end - begin);
-}
-
 HttpRequest relayedRecordsRequest(uint64_t from)
 {
     return { "GET", fmt::format("{}{}{}", relayPath, fromParameter, from), {}, {}, {} };
@@ -81,7 +76,7 @@
 void ConfigurationRelay::handle(const HttpMessage& request, HttpServer::ResponseCallback respond)
 {
     auto now = BootClock::now();
-    if (now - context_.configurationConfirmedAt > renewalAge)
+    if (context_.configurationAge(now) > renewalAge)
         renew_();
     inUseUntil_ = now + useTimeout;
     auto parameter = request.target.find(fromParameter);
@@ -132,7 +127,7 @@
 
 bool ConfigurationRelay::tryRespond(const WaitingReader& reader, Instant now)
 {
-    auto held = millisecondsBetween(reader.arrivedAt, now);
+    auto held = std::chrono::duration_cast<Milliseconds>(now - reader.arrivedAt);
     bool changed = context_.configuration && cache_.nextOffset > reader.from;
     if (context_.configuration && !cache_.confirmable) {
         reader.respond(notRunResponse("the configuration cannot be confirmed"));
@@ -146,7 +141,7 @@
     }
     HttpResponse response { 200, encodedSince(reader.from), "application/msgpack" };
     response.headers = { { nextOffsetHeader, std::to_string(cache_.nextOffset) },
-        { ageHeader, std::to_string(millisecondsBetween(context_.configurationConfirmedAt, now).count()) },
+        { ageHeader, std::to_string(context_.configurationAge(now).count()) },
         { heldHeader, std::to_string(held.count()) } };
     reader.respond(std::move(response));
     return true;
--- a/shallotdrift/src/Node/FleetManager.cpp
+++ b/shallotdrift/src/Node/FleetManager.cpp
@@ -211,7 +211,7 @@
         auto address = membership_.ownerAddress(partitionOf(name, context_.settings.storePartitions));
         if (address.empty())
             continue;
-        if (membership_.memberId().compare(0, address.size(), address) == 0)
+        if (membership_.isOwnAddress(address))
             includesThisInstance = true;
         else
             addresses.insert(address);
--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -221,21 +221,21 @@
     return found == owners_.end() ? std::string() : addressOf(found->second);
 }
 
+bool Membership::isOwnAddress(const std::string& address) const { return address == addressOf(groupMember_.member); }
+
 std::vector<std::string> Membership::otherOwners() const
 {
-    auto own = addressOf(groupMember_.member);
     std::set<std::string> addresses;
     for (const auto& [partition, member] : owners_)
-        if (auto address = addressOf(member); address != own)
+        if (auto address = addressOf(member); !isOwnAddress(address))
             addresses.insert(std::move(address));
     return { addresses.begin(), addresses.end() };
 }
 
 bool Membership::isOwner() const
 {
-    auto own = addressOf(groupMember_.member);
-    return !owned_.empty() || std::any_of(owners_.begin(), owners_.end(), [&](const auto& entry) {
-        return addressOf(entry.second) == own;
+    return !owned_.empty() || std::any_of(owners_.begin(), owners_.end(), [this](const auto& entry) {
+        return isOwnAddress(addressOf(entry.second));
     });
 }
 
--- a/shallotdrift/src/Node/Membership.h
+++ b/shallotdrift/src/Node/Membership.h
@@ -39,6 +39,8 @@
     const std::string& memberId() const { return groupMember_.member; }
     // Address (IP:port) of the entry instance that owns the partition; empty while it is unknown.
     std::string ownerAddress(uint32_t partition) const;
+    // Whether the address (IP:port) is that of this entry instance.
+    bool isOwnAddress(const std::string& address) const;
     // Addresses of the entry instances that own partitions as last read, without this one.
     std::vector<std::string> otherOwners() const;
     // Whether this entry instance owns a partition, or is listed as an owner at its address.
--- a/shallotdrift/src/Node/NodeContext.h
+++ b/shallotdrift/src/Node/NodeContext.h
@@ -63,6 +63,12 @@
     std::map<std::string, WorkerInfo> workerRegistry {}; // by worker id
     MembershipLease membershipLease {};
     bool stopping = false;
+
+    // Time since the configuration was known to be the store's.
+    Milliseconds configurationAge(Instant now) const
+    {
+        return std::chrono::duration_cast<Milliseconds>(now - configurationConfirmedAt);
+    }
 };
 
 // How long a process may accept keys by the configuration that it last confirmed. A request is sent before it is
--- a/shallotdrift/src/Node/NodeProcess.cpp
+++ b/shallotdrift/src/Node/NodeProcess.cpp
@@ -415,11 +415,6 @@
             });
         }
 
-        Milliseconds configurationAge() const
-        {
-            return std::chrono::duration_cast<Milliseconds>(BootClock::now() - context_.configurationConfirmedAt);
-        }
-
         // For the accounts with the most cores in use, since each account adds lines.
         void addQuotaMetrics(std::string& text) const
         {
@@ -476,7 +471,7 @@
             add("partitions_owned", owned_.size());
             add("keys_refused_total", counters.keysRefused);
             add("requests_unconfirmed_total", counters.requestsUnconfirmed);
-            add("configuration_age_ms", configurationAge().count());
+            add("configuration_age_ms", context_.configurationAge(BootClock::now()).count());
             add("configuration_reads_failed_total", counters.configurationReadsFailed);
             add("configuration_relayed_reads_total", counters.relayedReads);
             add("configuration_relayed_reads_failed_total", counters.relayedReadsFailed);
--- a/shallotdrift/src/Node/OperatorCallRouter.cpp
+++ b/shallotdrift/src/Node/OperatorCallRouter.cpp
@@ -56,7 +56,7 @@
         return;
     }
     auto address = membership_.ownerAddress(FleetManager::partition);
-    if (address.empty() || membership_.memberId().compare(0, address.size(), address) == 0) {
+    if (address.empty() || membership_.isOwnAddress(address)) {
         membership_.refreshOwners();
         onReply(call, std::nullopt);
         return;
--- a/shallotdrift/src/Node/RequestRouter.cpp
+++ b/shallotdrift/src/Node/RequestRouter.cpp
@@ -119,7 +119,7 @@
     if (admission.refusal) {
         logger("router")->info("event=unauthorized queue={} status={} version={} confirmed_ms={}", queue->name,
             admission.refusal->status, context_.configuration->version,
-            std::chrono::duration_cast<Milliseconds>(BootClock::now() - context_.configurationConfirmedAt).count());
+            context_.configurationAge(BootClock::now()).count());
         return std::move(*admission.refusal);
     }
     auto job = path.substr(queue->pathPrefix.size());
@@ -194,7 +194,7 @@
         return;
     }
     auto address = membership_.ownerAddress(pending->partition);
-    if (address.empty() || address == membership_.memberId().substr(0, address.size())) {
+    if (address.empty() || membership_.isOwnAddress(address)) {
         scheduleRetry(pending);
         return;
     }
--- a/shallotdrift/src/Node/Watchers.cpp
+++ b/shallotdrift/src/Node/Watchers.cpp
@@ -114,7 +114,7 @@
 {
     auto now = BootClock::now();
     auto bound = context_.settings.keyWithdrawalBound;
-    bool renewSoon = bound.count() > 0 && now - context_.configurationConfirmedAt > bound / 3;
+    bool renewSoon = bound.count() > 0 && context_.configurationAge(now) > bound / 3;
     if (renewSoon)
         return Milliseconds { 0 };
     return relay_.inUse(now) ? relayReadWait : configurationReadWait;
@@ -205,11 +205,6 @@
     read();
 }
 
-Milliseconds ConfigurationWatcher::unconfirmedTime() const
-{
-    return std::chrono::duration_cast<Milliseconds>(BootClock::now() - context_.configurationConfirmedAt);
-}
-
 // Logs the first failure of a series.
 void ConfigurationWatcher::onReadFailed(unsigned status)
 {
@@ -218,7 +213,8 @@
     relay_.onChange();
     if (++failedReads_ == 1)
         logger("config")->warn("event=read_failed status={} offset={} version={} unconfirmed_ms={}", status,
-            cache_.nextOffset, context_.configuration ? context_.configuration->version : 0, unconfirmedTime().count());
+            cache_.nextOffset, context_.configuration ? context_.configuration->version : 0,
+            context_.configurationAge(BootClock::now()).count());
 }
 
 void ConfigurationWatcher::onRead()
@@ -227,7 +223,8 @@
     cache_.confirmable = true;
     if (failedReads_ > 0)
         logger("config")->info("event=read_resumed failures={} offset={} version={} unconfirmed_ms={}", failedReads_,
-            cache_.nextOffset, context_.configuration ? context_.configuration->version : 0, unconfirmedTime().count());
+            cache_.nextOffset, context_.configuration ? context_.configuration->version : 0,
+            context_.configurationAge(BootClock::now()).count());
     failedReads_ = 0;
 }
 
@@ -264,7 +261,7 @@
         "unconfirmed_ms={}",
         configuration->version, configuration->queues.size(), configuration->services.size(),
         configuration->accounts.size(), configuration->keys.size(), configuration->rejectedEntries, record.value.size(),
-        context_.configuration ? unconfirmedTime().count() : 0);
+        context_.configuration ? context_.configurationAge(BootClock::now()).count() : 0);
     context_.configuration = std::make_shared<const platform::Configuration>(std::move(*configuration));
     asio::post(context_.io, [this] { onConfiguration_(); }); // an exception there must not end this watcher
     return true;
--- a/shallotdrift/src/Node/Watchers.h
+++ b/shallotdrift/src/Node/Watchers.h
@@ -40,7 +40,6 @@
     bool applyConfiguration(const platform::KeyedRecord&);
     void onReadFailed(unsigned status);
     void onRead();
-    Milliseconds unconfirmedTime() const;
 
     NodeContext& context_;
     Membership& membership_;
