Simplify the relay and the refusal of queues

Whether a relay's records are confirmed follows from the number of failed reads, which the watcher counted beside it. Waiting readers ask from the same offset, so one encoded body is kept instead of up to 64, each as large as the configuration. The headers are read by uniqueHeader(), which the project had. The refusal of a queue logs itself, since both callers did so with the same values.

--- a/shallotdrift/src/Node/ConfigurationRelay.cpp
+++ b/shallotdrift/src/Node/ConfigurationRelay.cpp
@@ -30,17 +30,11 @@
     return { "GET", fmt::format("{}{}{}", relayPath, fromParameter, from), {}, {}, {} };
 }
 
-static std::optional<uint64_t> numberInHeader(const HttpMessage& message, const char* name, uint64_t maximum)
-{
-    const auto* text = message.findHeader(name);
-    return text ? parseNumber(*text, maximum) : std::nullopt;
-}
-
 std::optional<RelayedRecords> parseRelayedRecords(const HttpMessage& response)
 {
-    auto nextOffset = numberInHeader(response, nextOffsetHeader, UINT64_MAX);
-    auto age = numberInHeader(response, ageHeader, maximumMilliseconds);
-    auto held = numberInHeader(response, heldHeader, maximumMilliseconds);
+    auto nextOffset = parseNumber(response.uniqueHeader(nextOffsetHeader), UINT64_MAX);
+    auto age = parseNumber(response.uniqueHeader(ageHeader), maximumMilliseconds);
+    auto held = parseNumber(response.uniqueHeader(heldHeader), maximumMilliseconds);
     if (response.status != 200 || !nextOffset || !age || !held)
         return std::nullopt;
     RelayedRecords result;
@@ -110,33 +104,28 @@
 
 const std::string& ConfigurationRelay::encodedSince(uint64_t from)
 {
-    static constexpr size_t maximumEncodings = 64;
-    if (encoded_.size() >= maximumEncodings)
-        encoded_.clear();
-    auto [entry, added] = encoded_.try_emplace(from);
-    if (added) {
+    if (encodedFrom_ != from) {
         auto rows = json::array();
         for (const auto& [key, record] : cache_.records)
             if (record.offset >= from)
                 rows.push_back({ key, json::binary({ record.value.begin(), record.value.end() }), record.offset });
         auto bytes = json::to_msgpack(rows);
-        entry->second.assign(bytes.begin(), bytes.end());
+        encoded_.assign(bytes.begin(), bytes.end());
+        encodedFrom_ = from;
     }
-    return entry->second;
+    return encoded_;
 }
 
 bool ConfigurationRelay::tryRespond(const WaitingReader& reader, Instant now)
 {
     auto held = std::chrono::duration_cast<Milliseconds>(now - reader.arrivedAt);
-    bool changed = context_.configuration && cache_.nextOffset > reader.from;
-    if (context_.configuration && !cache_.confirmable) {
-        reader.respond(notRunResponse("the configuration cannot be confirmed"));
-        return true;
-    }
-    if (!changed && held < holdTime)
+    bool complete = context_.configuration && cache_.nextOffset > 0; // all pages of the first read have come
+    bool changed = complete && cache_.nextOffset > reader.from;
+    bool unconfirmed = complete && cache_.failedReads > 0;
+    if (!changed && !unconfirmed && held < holdTime)
         return false;
-    if (!context_.configuration) {
-        reader.respond(notRunResponse("no configuration yet"));
+    if (!complete || unconfirmed) {
+        reader.respond(notRunResponse("no confirmed configuration"));
         return true;
     }
     HttpResponse response { 200, encodedSince(reader.from), "application/msgpack" };
@@ -149,7 +138,7 @@
 
 void ConfigurationRelay::onChange()
 {
-    encoded_.clear();
+    encodedFrom_.reset();
     auto now = BootClock::now();
     auto waiting = std::move(waiting_);
     waiting_.clear();
--- a/shallotdrift/src/Node/ConfigurationRelay.h
+++ b/shallotdrift/src/Node/ConfigurationRelay.h
@@ -12,7 +12,7 @@
 struct OperatorRecordCache {
     std::map<std::string, platform::KeyedRecord> records {}; // by key
     uint64_t nextOffset = 0; // of the store's partition; earlier records are in the cache
-    bool confirmable = false; // whether the last read succeeded, so that the records are known to be recent
+    uint64_t failedReads = 0; // since the last successful one; 0: the records are known to be recent
 };
 
 // What a relay says of the operator's records.
@@ -65,7 +65,9 @@
     std::function<void()> renew_;
     asio::steady_timer timer_;
     std::deque<WaitingReader> waiting_; // in the order of their arrival
-    std::map<uint64_t, std::string> encoded_; // body by first offset, of the records as they are now
+    // The last body that was encoded, and its first offset: readers wait for the same change. Reset by each change.
+    std::optional<uint64_t> encodedFrom_ {};
+    std::string encoded_;
     Instant inUseUntil_ {};
 };
 
--- a/shallotdrift/src/Node/OwnedPartition.cpp
+++ b/shallotdrift/src/Node/OwnedPartition.cpp
@@ -303,8 +303,7 @@
         respond(notRunResponse("not run: the store does not answer"));
         return;
     }
-    if (auto refusal = refuseQueue(request.queue, request.configurationVersion)) {
-        logQueueRefusal(request.job, request.queue, refusal->status, request.configurationVersion);
+    if (auto refusal = refuseQueue(request.job, request.queue, request.configurationVersion)) {
         respond(std::move(*refusal));
         return;
     }
@@ -320,24 +319,19 @@
 
 // The router found the queue in a configuration of its own. If that is newer, or the queue's service has another owner
 // here, the router asks again until both have the same one, or refuses the request as not run.
-std::optional<HttpResponse> OwnedPartition::refuseQueue(const std::string& name, uint64_t routerVersion) const
-{
-    auto queue = context_.configuration->queues.find(name);
-    if (queue == context_.configuration->queues.end()) {
-        if (routerVersion > context_.configuration->version)
-            return HttpResponse { notOwnerStatus };
-        return errorResponse(404, "no such queue");
-    }
-    if (partitionOf(queue->second.service, context_.settings.storePartitions) != number_)
-        return HttpResponse { notOwnerStatus };
-    return std::nullopt;
-}
-
-void OwnedPartition::logQueueRefusal(
-    const std::string& job, const std::string& queue, unsigned status, uint64_t routerVersion) const
+std::optional<HttpResponse> OwnedPartition::refuseQueue(
+    const std::string& job, const std::string& name, uint64_t routerVersion) const
 {
+    const auto& configuration = *context_.configuration;
+    auto queue = configuration.queues.find(name);
+    bool known = queue != configuration.queues.end();
+    if (known && partitionOf(queue->second.service, context_.settings.storePartitions) == number_)
+        return std::nullopt;
+    auto refusal = known || routerVersion > configuration.version ? HttpResponse { notOwnerStatus }
+                                                                  : errorResponse(404, "no such queue");
     logger("owner")->info("request={} event=refused queue={} reason=no_queue status={} version={} router_version={}",
-        job, queue, status, context_.configuration->version, routerVersion);
+        job, name, refusal.status, configuration.version, routerVersion);
+    return refusal;
 }
 
 // A job beyond the share of its account starts only in room that the others leave. If the accepted work keeps the
@@ -380,8 +374,7 @@
     submissions_.clear();
     for (auto& submission : submissions) {
         if (!hasJob(submission.job)) {
-            if (auto refusal = refuseQueue(submission.queue, submission.configurationVersion)) {
-                logQueueRefusal(submission.job, submission.queue, refusal->status, submission.configurationVersion);
+            if (auto refusal = refuseQueue(submission.job, submission.queue, submission.configurationVersion)) {
                 submission.respond(std::move(*refusal));
                 continue;
             }
--- a/shallotdrift/src/Node/OwnedPartition.h
+++ b/shallotdrift/src/Node/OwnedPartition.h
@@ -72,9 +72,8 @@
     void configureServices();
     Service& service(const std::string& name); // created on the first call
     void submit(OwnerRequest&&, ResponseCallback);
-    std::optional<HttpResponse> refuseQueue(const std::string& queue, uint64_t routerVersion) const;
-    void logQueueRefusal(
-        const std::string& job, const std::string& queue, unsigned status, uint64_t routerVersion) const;
+    std::optional<HttpResponse> refuseQueue(
+        const std::string& job, const std::string& queue, uint64_t routerVersion) const;
     bool refuseBeyondShare(const OwnerRequest&, bool beyondShare, const ResponseCallback&);
     void query(const OwnerRequest&, ResponseCallback);
     void cancel(const OwnerRequest&, ResponseCallback);
--- a/shallotdrift/src/Node/RequestRouter.cpp
+++ b/shallotdrift/src/Node/RequestRouter.cpp
@@ -366,8 +366,7 @@
     OwnerRequest request { target->type, std::move(target->queue), std::move(target->job), std::move(message.body) };
     if (const auto* account = message.findHeader(accountHeader))
         request.account = *account;
-    if (const auto* version = message.findHeader(versionHeader))
-        request.configurationVersion = parseNumber(*version, UINT64_MAX).value_or(0);
+    request.configurationVersion = parseNumber(message.uniqueHeader(versionHeader), UINT64_MAX).value_or(0);
     owned->handle(std::move(request), std::move(respond));
 }
 
--- a/shallotdrift/src/Node/Watchers.cpp
+++ b/shallotdrift/src/Node/Watchers.cpp
@@ -209,9 +209,9 @@
 void ConfigurationWatcher::onReadFailed(unsigned status)
 {
     ++context_.counters.configurationReadsFailed;
-    cache_.confirmable = false;
+    ++cache_.failedReads;
     relay_.onChange();
-    if (++failedReads_ == 1)
+    if (cache_.failedReads == 1)
         logger("config")->warn("event=read_failed status={} offset={} version={} unconfirmed_ms={}", status,
             cache_.nextOffset, context_.configuration ? context_.configuration->version : 0,
             context_.configurationAge(BootClock::now()).count());
@@ -220,12 +220,11 @@
 void ConfigurationWatcher::onRead()
 {
     relays_.onSuccess();
-    cache_.confirmable = true;
-    if (failedReads_ > 0)
-        logger("config")->info("event=read_resumed failures={} offset={} version={} unconfirmed_ms={}", failedReads_,
-            cache_.nextOffset, context_.configuration ? context_.configuration->version : 0,
+    if (cache_.failedReads > 0)
+        logger("config")->info("event=read_resumed failures={} offset={} version={} unconfirmed_ms={}",
+            cache_.failedReads, cache_.nextOffset, context_.configuration ? context_.configuration->version : 0,
             context_.configurationAge(BootClock::now()).count());
-    failedReads_ = 0;
+    cache_.failedReads = 0;
 }
 
 // The cache keeps the records in force; one that is older than they are is left out of both.
--- a/shallotdrift/src/Node/Watchers.h
+++ b/shallotdrift/src/Node/Watchers.h
@@ -53,7 +53,6 @@
     bool renewing_ = false; // a read that renews the confirmation is in flight
     Instant startedAt_ {};
     Instant snapshotBegunAt_ {};
-    uint64_t failedReads_ = 0; // since the last successful one
     std::map<uint64_t, platform::WaveRequest> waves_;
 };
 
