--- a/shallotdrift/src/Node/Membership.cpp
+++ b/shallotdrift/src/Node/Membership.cpp
@@ -16,7 +16,6 @@
 static constexpr Milliseconds ownersReadInterval { 1500 }; // a failed request to an owner triggers a read, too
 static constexpr Milliseconds minimumOwnersReadInterval { 120 };
 // While the store refuses reads beyond its limit, which is one for all entry instances and all kinds of reads.
-static constexpr unsigned rateLimitedStatus = 429;
 static constexpr Milliseconds maximumOwnersReadInterval { 800 };
 static constexpr int intervalGrowth = 2; // factor for each read that is refused so; each success takes a quarter off
 // A partition is handed over when its old and its new owner have joined again, so a planned stop interrupts a service
@@ -268,7 +267,7 @@
             auto response
                 = message ? platform::parsePartitionOwnersResponse(*message) : platform::PartitionOwnersResponse {};
             bool read = response.status == platform::StoreStatus::Ok;
-            bool limited = message && message->status == rateLimitedStatus;
+            bool limited = response.status == platform::StoreStatus::RateLimited;
             if (read || limited)
                 ownersReadInterval_
                     = std::clamp(read ? ownersReadInterval_ * 3 / 4 : ownersReadInterval_ * intervalGrowth,
