Send all reads of the operator's records through one function

The read that renews a relay's confirmation had a copy of the long-polling read. Both use readStore() now, which decodes a response by the offset that was asked for; the long poll had used the one at the time of the response, which would have been wrong as soon as another read moved it.

--- a/shallotdrift/src/Node/Watchers.cpp
+++ b/shallotdrift/src/Node/Watchers.cpp
@@ -75,7 +75,9 @@
     else if (snapshotDue_)
         readSnapshot();
     else
-        readStore();
+        readStore(readWait(), [this](const platform::ReadRecordsResponse& response, unsigned status, Instant sentAt) {
+            onStoreResponse(response, status, sentAt);
+        });
 }
 
 void ConfigurationWatcher::readAfter(Milliseconds time)
@@ -120,31 +122,28 @@
     return relay_.inUse(now) ? relayReadWait : configurationReadWait;
 }
 
-void ConfigurationWatcher::readStore()
+// Reads the records that follow those in the cache. `status`: of the response, 0 if there was none.
+void ConfigurationWatcher::readStore(Milliseconds wait, StoreHandler handler)
 {
-    auto wait = readWait();
     auto sentAt = BootClock::now();
-    context_.store.send(platform::readRecordsRequest(platform::operatorPartition(), cache_.nextOffset, wait),
-        wait + responseTimeout, [this, sentAt](std::optional<HttpMessage> message) {
-            onStoreResponse(message ? platform::parseReadRecordsResponse(*message, cache_.nextOffset)
-                                    : platform::ReadRecordsResponse {},
+    auto from = cache_.nextOffset;
+    context_.store.send(platform::readRecordsRequest(platform::operatorPartition(), from, wait), wait + responseTimeout,
+        [handler = std::move(handler), sentAt, from](std::optional<HttpMessage> message) {
+            handler(message ? platform::parseReadRecordsResponse(*message, from) : platform::ReadRecordsResponse {},
                 message ? message->status : 0, sentAt);
         });
 }
 
-// Called while other entry instances read from this one, whose own read may still wait for a long time.
+// Called while other entry instances read from this one, whose own read may still wait for a long time. A change is
+// left to that read.
 void ConfigurationWatcher::renewConfirmation()
 {
     if (snapshotDue_ || renewing_ || !membership_.isOwner())
         return;
     renewing_ = true;
-    auto sentAt = BootClock::now();
-    auto from = cache_.nextOffset;
-    context_.store.send(platform::readRecordsRequest(platform::operatorPartition(), from, Milliseconds { 0 }),
-        responseTimeout, [this, sentAt, from](std::optional<HttpMessage> message) {
+    readStore(Milliseconds { 0 },
+        [this, from = cache_.nextOffset](const platform::ReadRecordsResponse& response, unsigned, Instant sentAt) {
             renewing_ = false;
-            auto response
-                = message ? platform::parseReadRecordsResponse(*message, from) : platform::ReadRecordsResponse {};
             if (response.status == platform::StoreStatus::Ok && response.endOffset == from)
                 confirm(sentAt);
         });
--- a/shallotdrift/src/Node/Watchers.h
+++ b/shallotdrift/src/Node/Watchers.h
@@ -28,7 +28,8 @@
     void readAfter(Milliseconds);
     bool awaitsOwners();
     void readSnapshot();
-    void readStore();
+    using StoreHandler = std::function<void(const platform::ReadRecordsResponse&, unsigned status, Instant sentAt)>;
+    void readStore(Milliseconds wait, StoreHandler);
     void renewConfirmation();
     void onStoreResponse(const platform::ReadRecordsResponse&, unsigned status, Instant sentAt);
     void readRelay(const std::string& address);
