--- /dev/null
+++ b/review/stand-in-3/main.cpp
@@ -0,0 +1,258 @@
+// A small platform on loopback for the cases of REPORT-3.md: the store, the list of machines, and the workers of one
+// service, built from the project's own stand-ins. Workers can crash, and start again under their id as another kind.
+//
+// Ports from --port on: the store, the list of machines, then one for each worker. The store's port also serves
+//   /control/crash/N         worker N crashes: its connections are reset, nothing runs on it any more
+//   /control/boot/N/KIND     worker N starts again under the same id, with KIND as the label of its kind
+//   /control/log             what the workers have seen, with times
+#include "standin/StoreStandIn.h"
+#include "standin/WorkerStandIn.h"
+
+#include "platform/Platform.h"
+#include "shallotdrift/src/Http/DeadlineQueue.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <iostream>
+#include <sstream>
+
+using namespace shallotdrift;
+using namespace shallotdrift::standin;
+using nlohmann::json;
+
+namespace {
+
+constexpr char serviceName[] = "reports";
+constexpr char zoneName[] = "a";
+constexpr int64_t coresPerWorker = 8;
+constexpr Milliseconds pollInterval { 10 };
+constexpr Milliseconds heartbeatInterval { 1500 }; // HeartbeatMs of the pages
+
+std::string startTarget() { return "/shallotdrift/run-start"; }
+
+class SmallPlatform {
+public:
+    SmallPlatform(int port, std::vector<std::string> kinds)
+        : port_(port)
+        , store_(24)
+        , timer_(io_)
+        , deadlines_(io_)
+    {
+        serve(0, [this](HttpMessage&& request, HttpServer::ResponseCallback respond) {
+            if (request.target.rfind("/control/", 0) == 0)
+                control(request.target.substr(9), respond);
+            else
+                store_.handle(request, std::move(respond));
+        });
+        serve(1, [this](HttpMessage&& request, const HttpServer::ResponseCallback& respond) {
+            respond(platform::isListInstancesRequest(request) ? HttpResponse { 200, listMachines() }
+                                                              : HttpResponse { 400 });
+        });
+        workers_.resize(kinds.size());
+        for (size_t i = 0; i < kinds.size(); ++i)
+            boot(i, kinds[i]);
+        publishConfiguration();
+    }
+
+    void run()
+    {
+        tick();
+        asio::signal_set signals(io_, SIGTERM, SIGINT);
+        signals.async_wait([this](std::error_code, int) { io_.stop(); });
+        io_.run();
+    }
+
+private:
+    struct WorkerState {
+        std::string kind;
+        int boots = 0;
+        std::unique_ptr<WorkerStandIn> worker;
+        std::unique_ptr<HttpServer> server;
+        Instant nextHeartbeatAt {};
+        size_t running = 0;
+    };
+
+    std::string address(size_t offset) const { return fmt::format("127.0.0.1:{}", port_ + static_cast<int>(offset)); }
+
+    std::unique_ptr<HttpServer> makeServer(size_t offset, HttpServer::Handler handler)
+    {
+        auto server = std::make_unique<HttpServer>(
+            io_, deadlines_, HttpServerOptions { address(offset) }, std::move(handler));
+        if (!handleError([&]() -> Result<bool> { BOOST_LEAF_CHECK(server->start()); return true; },
+                [](const Error&) { return false; }))
+            std::cerr << "cannot listen on " << address(offset) << std::endl;
+        return server;
+    }
+
+    void serve(size_t offset, HttpServer::Handler handler)
+    {
+        servers_.push_back(makeServer(offset, std::move(handler)));
+    }
+
+    void log(const std::string& line)
+    {
+        auto time = std::chrono::duration_cast<Milliseconds>(BootClock::now() - startedAt_).count();
+        log_ += fmt::format("{:6d} ms  {}\n", time, line);
+    }
+
+    void boot(size_t i, const std::string& kind)
+    {
+        auto& state = workers_[i];
+        state.kind = kind;
+        ++state.boots;
+        state.worker = std::make_unique<WorkerStandIn>(fmt::format("worker-{}", i), 1000 * coresPerWorker, statistics_);
+        state.server = makeServer(2 + i, [this, i](HttpMessage&& request, HttpServer::ResponseCallback respond) {
+            handle(i, std::move(request), std::move(respond));
+        });
+        // The first boot is registered at once, a later one with its next check-in.
+        state.nextHeartbeatAt = state.boots == 1 ? Instant {} : BootClock::now() + heartbeatInterval / 3;
+        log(fmt::format("worker-{} starts: boot {}, born {}, labels [{}, r1]", i, state.boots,
+            state.worker->bootTime(), kind));
+    }
+
+    void crash(size_t i)
+    {
+        auto& state = workers_[i];
+        if (!state.worker)
+            return;
+        log(fmt::format("worker-{} crashes, {} work items at work", i, state.worker->runCount()));
+        state.worker->killAll();
+        state.server.reset();
+        state.worker.reset();
+        state.running = 0;
+    }
+
+    void handle(size_t i, HttpMessage&& request, HttpServer::ResponseCallback respond)
+    {
+        auto& state = workers_[i];
+        if (!state.worker)
+            return;
+        if (request.target == startTarget()) {
+            auto call = json::parse(request.body, nullptr, false);
+            auto task = call.is_object() ? call.value("Task", std::string()) : std::string();
+            auto run = call.is_object() ? call.value("RunId", 0) : 0;
+            respond = [this, i, task, run, boot = state.boots, kind = state.kind, respond = std::move(respond)](
+                          HttpResponse&& response) {
+                log(fmt::format("worker-{} (boot {}, kind {}): start {} run {} -> {}", i, boot, kind, task, run,
+                    response.status));
+                respond(std::move(response));
+            };
+        }
+        state.worker->handle(request, std::move(respond));
+    }
+
+    void heartbeat(size_t i)
+    {
+        auto& state = workers_[i];
+        WorkerInfo info;
+        info.id = state.worker->id();
+        info.address = address(2 + i);
+        info.service = serviceName;
+        info.zone = zoneName;
+        info.instance = fmt::format("machine-{}", i);
+        info.capacity = { 1000 * coresPerWorker, 64000, 0 };
+        info.labels = { state.kind, "r1" };
+        info.bootTime = state.worker->bootTime();
+        auto record = platform::encodeWorker(info);
+        store_.put(platform::registryPartition().topic, record.key, record.value);
+        if (state.nextHeartbeatAt != Instant {} && state.boots > 1 && !state.worker->runCount())
+            log(fmt::format("worker-{} checks in: boot {}, labels [{}, r1]", i, state.boots, state.kind));
+        state.nextHeartbeatAt = BootClock::now() + heartbeatInterval;
+    }
+
+    std::string listMachines() const
+    {
+        std::vector<platform::InstanceInfo> list;
+        for (size_t i = 0; i < workers_.size(); ++i)
+            list.push_back({ fmt::format("machine-{}", i), serviceName,
+                workers_[i].worker ? platform::InstanceState::Up : platform::InstanceState::Down, zoneName, "r1",
+                { 1000 * coresPerWorker, 64000, 0 }, { workers_[i].kind, "r1" },
+                workers_[i].worker ? workers_[i].worker->id() : std::string() });
+        return platform::formatListInstancesResponse(list);
+    }
+
+    void publishConfiguration()
+    {
+        platform::Configuration configuration;
+        configuration.version = 1;
+        QueueConfiguration queue;
+        queue.name = "render";
+        queue.host = "reports.example";
+        queue.pathPrefix = "/render/";
+        queue.service = serviceName;
+        queue.maximumAttempts = 3;
+        queue.latencyTarget = Milliseconds { 2000 };
+        configuration.queues.emplace(queue.name, queue);
+        configuration.services[serviceName] = { serviceName, true, false };
+        auto record = platform::encodeConfiguration(configuration, {});
+        store_.put(platform::operatorPartition().topic, record.key, record.value);
+    }
+
+    void control(const std::string& command, const HttpServer::ResponseCallback& respond)
+    {
+        std::vector<std::string> words;
+        std::istringstream text(command);
+        for (std::string word; std::getline(text, word, '/');)
+            words.push_back(word);
+        if (words.size() == 2 && words[0] == "crash")
+            crash(std::stoul(words[1]));
+        else if (words.size() == 3 && words[0] == "boot")
+            boot(std::stoul(words[1]), words[2]);
+        else if (words.size() != 1 || words[0] != "log") {
+            respond({ 404 });
+            return;
+        }
+        respond({ 200, log_, "text/plain" });
+    }
+
+    void tick()
+    {
+        auto now = BootClock::now();
+        store_.poll(now);
+        for (size_t i = 0; i < workers_.size(); ++i) {
+            auto& state = workers_[i];
+            if (!state.worker)
+                continue;
+            state.worker->poll(now);
+            if (now >= state.nextHeartbeatAt)
+                heartbeat(i);
+            if (auto running = state.worker->runCount(); running != state.running) {
+                log(fmt::format("worker-{} (kind {}): {} work items at work", i, state.kind, running));
+                state.running = running;
+            }
+        }
+        timer_.expires_after(pollInterval);
+        timer_.async_wait([this](std::error_code error) {
+            if (!error)
+                tick();
+        });
+    }
+
+    int port_;
+    asio::io_context io_ { 1 };
+    StoreStandIn store_;
+    asio::steady_timer timer_;
+    DeadlineQueue deadlines_;
+    std::vector<std::unique_ptr<HttpServer>> servers_;
+    std::vector<WorkerState> workers_;
+    RunStatistics statistics_;
+    Instant startedAt_ = BootClock::now();
+    std::string log_;
+};
+
+} // namespace
+
+// Arguments: the first port, then the kind of each worker.
+int main(int argc, char** argv)
+{
+    if (argc < 3) {
+        std::cerr << "usage: review-stand-in-3 PORT KIND ...\n";
+        return 2;
+    }
+    SmallPlatform platform(std::atoi(argv[1]), std::vector<std::string>(argv + 2, argv + argc));
+    platform.run();
+    return 0;
+}
