--- a/review/stand-in-3/fleet.sh
+++ b/review/stand-in-3/fleet.sh
@@ -17,7 +17,7 @@
   sleep 0.3
   for id in $pids; do kill -KILL "$id" 2>/dev/null; done
   wait 2>/dev/null
-  rm -rf "$directory"
+  [ -n "${KEEP:-}" ] && cp -r "$directory" "$KEEP"; rm -rf "$directory"
   say "$2"
   exit "$1"
 }
--- a/review/stand-in-3/main.cpp
+++ b/review/stand-in-3/main.cpp
@@ -4,7 +4,11 @@
 // Ports from --port on: the store, the list of machines, then one for each worker. The store's port also serves
 //   /control/crash/N         worker N crashes: its connections are reset, nothing runs on it any more
 //   /control/boot/N/KIND     worker N starts again under the same id, with KIND as the label of its kind
+//   /control/cut/N           worker N is cut off and runs on: calls to it get no answer
+//   /control/heal/N          the cut ends
 //   /control/log             what the workers have seen, with times
+//
+// With --unguarded the workers start whatever they are told to (AdmissionCheck false), and a stop takes 0.8 s.
 #include "standin/StoreStandIn.h"
 #include "standin/WorkerStandIn.h"
 
@@ -30,13 +34,16 @@
 constexpr int64_t coresPerWorker = 8;
 constexpr Milliseconds pollInterval { 10 };
 constexpr Milliseconds heartbeatInterval { 1500 }; // HeartbeatMs of the pages
+constexpr Milliseconds stopTime { 800 }; // of unguarded workers; StopMs of the pages is 900
+constexpr int64_t unlimitedMilliCores = 1000000;
 
 std::string startTarget() { return "/shallotdrift/run-start"; }
 
 class SmallPlatform {
 public:
-    SmallPlatform(int port, std::vector<std::string> kinds)
+    SmallPlatform(int port, bool guarded, std::vector<std::string> kinds)
         : port_(port)
+        , guarded_(guarded)
         , store_(24)
         , timer_(io_)
         , deadlines_(io_)
@@ -69,6 +76,8 @@
     struct WorkerState {
         std::string kind;
         int boots = 0;
+        bool cut = false;
+        uint64_t token = 0; // the highest fencing token that this boot has seen
         std::unique_ptr<WorkerStandIn> worker;
         std::unique_ptr<HttpServer> server;
         Instant nextHeartbeatAt {};
@@ -103,7 +112,9 @@
         auto& state = workers_[i];
         state.kind = kind;
         ++state.boots;
-        state.worker = std::make_unique<WorkerStandIn>(fmt::format("worker-{}", i), 1000 * coresPerWorker, statistics_);
+        state.token = 0;
+        state.worker = std::make_unique<WorkerStandIn>(fmt::format("worker-{}", i),
+            guarded_ ? 1000 * coresPerWorker : unlimitedMilliCores, statistics_);
         state.server = makeServer(2 + i, [this, i](HttpMessage&& request, HttpServer::ResponseCallback respond) {
             handle(i, std::move(request), std::move(respond));
         });
@@ -128,8 +139,29 @@
     void handle(size_t i, HttpMessage&& request, HttpServer::ResponseCallback respond)
     {
         auto& state = workers_[i];
-        if (!state.worker)
+        if (!state.worker || state.cut)
             return;
+        respond = [this, i, respond = std::move(respond)](HttpResponse&& response) {
+            if (!workers_[i].cut)
+                respond(std::move(response));
+        };
+        auto body = json::parse(request.body, nullptr, false);
+        auto token = body.is_object() ? body.value("FencingToken", uint64_t { 0 }) : 0;
+        bool current = token >= state.token;
+        state.token = std::max(state.token, token);
+        if (!guarded_ && current && request.target == "/shallotdrift/run-stop") {
+            respond({ 200 }); // the end is listed later
+            auto timer = std::make_shared<asio::steady_timer>(io_, stopTime);
+            timer->async_wait([this, i, timer, boot = state.boots, request = std::move(request), body](std::error_code) mutable {
+                auto& stopping = workers_[i];
+                if (!stopping.worker || stopping.boots != boot)
+                    return;
+                body["FencingToken"] = stopping.token; // it was checked when the call came
+                request.body = body.dump();
+                stopping.worker->handle(request, [](HttpResponse&&) {});
+            });
+            return;
+        }
         if (request.target == startTarget()) {
             auto call = json::parse(request.body, nullptr, false);
             auto task = call.is_object() ? call.value("Task", std::string()) : std::string();
@@ -138,6 +170,10 @@
                           HttpResponse&& response) {
                 log(fmt::format("worker-{} (boot {}, kind {}): start {} run {} -> {}", i, boot, kind, task, run,
                     response.status));
+                auto running = workers_[i].worker ? workers_[i].worker->runCount() : 0;
+                if (response.status == 200 && running > static_cast<size_t>(coresPerWorker))
+                    log(fmt::format("worker-{}: over its capacity, {} work items of 1 core at work on {} cores", i,
+                        running, coresPerWorker));
                 respond(std::move(response));
             };
         }
@@ -186,7 +222,7 @@
         queue.maximumAttempts = 3;
         queue.latencyTarget = Milliseconds { 2000 };
         configuration.queues.emplace(queue.name, queue);
-        configuration.services[serviceName] = { serviceName, true, false };
+        configuration.services[serviceName] = { serviceName, guarded_, false };
         auto record = platform::encodeConfiguration(configuration, {});
         store_.put(platform::operatorPartition().topic, record.key, record.value);
     }
@@ -201,7 +237,10 @@
             crash(std::stoul(words[1]));
         else if (words.size() == 3 && words[0] == "boot")
             boot(std::stoul(words[1]), words[2]);
-        else if (words.size() != 1 || words[0] != "log") {
+        else if (words.size() == 2 && (words[0] == "cut" || words[0] == "heal")) {
+            workers_[std::stoul(words[1])].cut = words[0] == "cut";
+            log(fmt::format("worker-{}: {}", words[1], words[0] == "cut" ? "cut off" : "the cut ends"));
+        } else if (words.size() != 1 || words[0] != "log") {
             respond({ 404 });
             return;
         }
@@ -232,6 +271,7 @@
     }
 
     int port_;
+    bool guarded_;
     asio::io_context io_ { 1 };
     StoreStandIn store_;
     asio::steady_timer timer_;
@@ -248,11 +288,16 @@
 // Arguments: the first port, then the kind of each worker.
 int main(int argc, char** argv)
 {
-    if (argc < 3) {
-        std::cerr << "usage: review-stand-in-3 PORT KIND ...\n";
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    bool guarded = arguments.empty() || arguments[0] != "--unguarded";
+    if (!guarded)
+        arguments.erase(arguments.begin());
+    if (arguments.size() < 2) {
+        std::cerr << "usage: review-stand-in-3 [--unguarded] PORT KIND ...\n";
         return 2;
     }
-    SmallPlatform platform(std::atoi(argv[1]), std::vector<std::string>(argv + 2, argv + argc));
+    SmallPlatform platform(
+        std::atoi(arguments[0].c_str()), guarded, std::vector<std::string>(arguments.begin() + 1, arguments.end()));
     platform.run();
     return 0;
 }
