--- a/review/stand-in-3/main.cpp
+++ b/review/stand-in-3/main.cpp
@@ -6,8 +6,15 @@
 //   /control/boot/N/KIND     worker N starts again under the same id, with KIND as the label of its kind
 //   /control/cut/N           worker N is cut off and runs on: calls to it get no answer
 //   /control/heal/N          the cut ends
+//   /control/drain/N         worker N reports that it is draining
+//   /control/wave/N          the operator asks for the upkeep of machine N, in a wave of its own
+//   /control/late/N/M/D      of the stops to worker N, the next M get no answer and are carried out 6 s later; with the
+//                            first stop that comes, worker D reports that it is draining, in any case
 //   /control/log             what the workers have seen, with times
 //
+// Work items whose Spec begins with "lasts" are at work (percent 100) from 0.7 s after their start on. A stop that ends
+// one of them on a worker that isn't draining is logged with the number of others of its step that are away.
+//
 // With --unguarded the workers start whatever they are told to (AdmissionCheck false), and a stop takes 0.8 s.
 #include "standin/StoreStandIn.h"
 #include "standin/WorkerStandIn.h"
@@ -21,7 +28,9 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <iostream>
+#include <optional>
 #include <sstream>
+#include <utility>
 
 using namespace shallotdrift;
 using namespace shallotdrift::standin;
@@ -36,6 +45,8 @@
 constexpr Milliseconds heartbeatInterval { 1500 }; // HeartbeatMs of the pages
 constexpr Milliseconds stopTime { 800 }; // of unguarded workers; StopMs of the pages is 900
 constexpr int64_t unlimitedMilliCores = 1000000;
+constexpr Milliseconds startupTime { 700 }; // of work items that last
+constexpr Milliseconds lateTime { 6000 };
 
 std::string startTarget() { return "/shallotdrift/run-start"; }
 
@@ -77,6 +88,9 @@
         std::string kind;
         int boots = 0;
         bool cut = false;
+        bool draining = false;
+        int lateStops = 0; // number of the next stops that get no answer
+        std::optional<size_t> drainsWithStop {}; // worker that starts to drain with the next stop
         uint64_t token = 0; // the highest fencing token that this boot has seen
         std::unique_ptr<WorkerStandIn> worker;
         std::unique_ptr<HttpServer> server;
@@ -84,6 +98,14 @@
         size_t running = 0;
     };
 
+    // A work item that lasts.
+    struct Lasting {
+        size_t worker = 0;
+        Instant startedAt {};
+        bool running = false;
+        bool atWork(Instant now) const { return running && now - startedAt >= startupTime; }
+    };
+
     std::string address(size_t offset) const { return fmt::format("127.0.0.1:{}", port_ + static_cast<int>(offset)); }
 
     std::unique_ptr<HttpServer> makeServer(size_t offset, HttpServer::Handler handler)
@@ -162,7 +184,37 @@
             });
             return;
         }
+        if (request.target == "/shallotdrift/run-stop" && lasting_.count(body.value("Task", std::string())) != 0) {
+            if (auto drains = std::exchange(state.drainsWithStop, std::nullopt)) {
+                workers_[*drains].draining = true;
+                heartbeat(*drains);
+                log(fmt::format("worker-{} reports that it is draining", *drains));
+            }
+            auto task = body.value("Task", std::string());
+            if (state.lateStops > 0) {
+                --state.lateStops;
+                log(fmt::format("worker-{}: stop {} gets no answer and is carried out later", i, task));
+                auto timer = std::make_shared<asio::steady_timer>(io_, lateTime);
+                timer->async_wait([this, i, timer, request = std::move(request)](std::error_code) {
+                    if (workers_[i].worker)
+                        workers_[i].worker->handle(request, [](HttpResponse&&) {});
+                });
+                return;
+            }
+            onStop(i, task);
+        }
+        if (request.target == "/shallotdrift/hold")
+            respond = [this, i, respond = std::move(respond)](HttpResponse&& response) {
+                respond({ response.status, withPercent(response.body) });
+            };
         if (request.target == startTarget()) {
+            if (body.is_object() && body.value("Spec", std::string()).rfind("lasts", 0) == 0)
+                respond = [this, i, task = body.value("Task", std::string()), respond = std::move(respond)](
+                              HttpResponse&& response) {
+                    if (response.status == 200)
+                        lasting_[task] = { i, BootClock::now(), true };
+                    respond(std::move(response));
+                };
             auto call = json::parse(request.body, nullptr, false);
             auto task = call.is_object() ? call.value("Task", std::string()) : std::string();
             auto run = call.is_object() ? call.value("RunId", 0) : 0;
@@ -180,6 +232,31 @@
         state.worker->handle(request, std::move(respond));
     }
 
+    void onStop(size_t i, const std::string& task)
+    {
+        auto now = BootClock::now();
+        auto& stopped = lasting_[task];
+        if (stopped.worker != i || !stopped.running)
+            return;
+        int away = 0;
+        for (const auto& [other, item] : lasting_)
+            away += other != task && !item.atWork(now) ? 1 : 0;
+        log(fmt::format("worker-{}{}: stop ends {} ({}); others of its step that are away: {}", i,
+            workers_[i].draining ? " (draining)" : "", task, stopped.atWork(now) ? "at work" : "not at work", away));
+        stopped.running = false;
+    }
+
+    std::string withPercent(const std::string& text) const
+    {
+        auto report = json::parse(text, nullptr, false);
+        if (!report.is_object() || !report.contains("Running"))
+            return text;
+        for (auto& row : report["Running"])
+            if (auto item = lasting_.find(row[0].get<std::string>()); item != lasting_.end())
+                row[3] = item->second.atWork(BootClock::now()) ? 100 : 50;
+        return report.dump();
+    }
+
     void heartbeat(size_t i)
     {
         auto& state = workers_[i];
@@ -192,6 +269,7 @@
         info.capacity = { 1000 * coresPerWorker, 64000, 0 };
         info.labels = { state.kind, "r1" };
         info.bootTime = state.worker->bootTime();
+        info.draining = state.draining;
         auto record = platform::encodeWorker(info);
         store_.put(platform::registryPartition().topic, record.key, record.value);
         if (state.nextHeartbeatAt != Instant {} && state.boots > 1 && !state.worker->runCount())
@@ -237,7 +315,16 @@
             crash(std::stoul(words[1]));
         else if (words.size() == 3 && words[0] == "boot")
             boot(std::stoul(words[1]), words[2]);
-        else if (words.size() == 2 && (words[0] == "cut" || words[0] == "heal")) {
+        else if (words.size() == 2 && words[0] == "drain")
+            workers_[std::stoul(words[1])].draining = true;
+        else if (words.size() == 2 && words[0] == "wave")
+            store_.put(platform::operatorPartition().topic, "wave/1",
+                json { { "Wave", 1 }, { "Machines", { "machine-" + words[1] } }, { "DurationS", 30 }, { "MaxCount", 1 } }
+                    .dump());
+        else if (words.size() == 4 && words[0] == "late") {
+            workers_[std::stoul(words[1])].lateStops = std::stoi(words[2]);
+            workers_[std::stoul(words[1])].drainsWithStop = std::stoul(words[3]);
+        } else if (words.size() == 2 && (words[0] == "cut" || words[0] == "heal")) {
             workers_[std::stoul(words[1])].cut = words[0] == "cut";
             log(fmt::format("worker-{}: {}", words[1], words[0] == "cut" ? "cut off" : "the cut ends"));
         } else if (words.size() != 1 || words[0] != "log") {
@@ -279,6 +366,7 @@
     std::vector<std::unique_ptr<HttpServer>> servers_;
     std::vector<WorkerState> workers_;
     RunStatistics statistics_;
+    std::map<std::string, Lasting> lasting_; // by work item
     Instant startedAt_ = BootClock::now();
     std::string log_;
 };
